Spread and back off new watches where discovery has to be asked

Counted over the fleet: 33 gateways had no list after the first until the end, so they went on with the old one (661 refused connections in 5 s).

Ruled out: the list itself (the 7 gateways that kept a watch had each change within a second), and a lost line (the 503 is discovery's own answer).

At fault: `Discovery._run`, whose pause is 0.1 s, the same at each gateway, and at most 1 s: made for an agent of its own, and harmless there. The module's own `subscribe` after a failure waits a quarter of askEveryMs.

Now: where the settings say that discovery has to be asked, the first pause is a quarter of askEveryMs, doubles up to it, and is drawn at random.

Push deployments keep their pauses.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,6 +22,7 @@
 CONNECT_S = 1.0  # the agent is near: a connection that is not up by then never comes up
 BACKOFF_S = 0.1  # wait before the first new try; doubles from there
 BACKOFF_MOST_S = 1.0
+CALM_SHARE = 0.25  # of the time between calls that the settings name: the first wait where calls are a load
 LINE_MOST = 1 << 22  # bytes of one line; more is no list of ours
 MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
 
@@ -107,7 +109,10 @@
 class Discovery:
     """Keeps a watch open; tells `told` of every list."""
 
-    def __init__(self, where: Address, version: int, told: Callable[[Listing], None]):
+    def __init__(
+            self, where: Address, version: int, told: Callable[[Listing], None], ask_every_s: float = 0.0):
+        self._ask_every_s = ask_every_s  # above 0 where calls load a service that all gateways share
+        self._wait = 0.0
         self._where, self._version, self._told = where, version, told
         self._watch: Watch | None = None
         self._lists = 0  # heard so far
@@ -136,12 +141,19 @@
             self.start()
 
     async def _run(self) -> None:
-        wait = BACKOFF_S
         while True:
             before = self._lists
             await self._watched()
-            wait = BACKOFF_S if self._lists > before else min(BACKOFF_MOST_S, wait * 2)
-            await asyncio.sleep(wait)
+            await asyncio.sleep(self._pause(self._lists > before))
+
+    def _pause(self, heard: bool) -> float:
+        """The wait before the next watch; `heard`: the last one brought a list. Where all gateways share the
+        service it is drawn at random: many watches end at one moment, and would all be back at one."""
+        least, most = BACKOFF_S, BACKOFF_MOST_S
+        if self._ask_every_s > 0.0:
+            least, most = self._ask_every_s * CALM_SHARE, self._ask_every_s
+        self._wait = least if heard else min(most, self._wait * 2 or least)
+        return self._wait * (random.random() if self._ask_every_s > 0.0 else 1.0)
 
     async def _watched(self) -> None:
         """One watch from its start to its end."""
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -71,7 +71,9 @@
         self.clients = Clients(self, settings, int(config.sockets * CLIENT_SHARE))
         self.backends = Backends(settings, config.keepalive_ms, int(config.sockets * BACKEND_SHARE))
         self.counter = Counter(config.counter, settings.counter_wait_ms, self.put) if config.counter else None
-        self.discovery = Discovery(config.discovery, config.known.event.version, self.listed)
+        self.discovery = Discovery(
+            config.discovery, config.known.event.version, self.listed,
+            settings.ask_every_ms / 1000.0 if settings.must_ask else 0.0)
         self.peers = Peers(config, self.put)
         self._do = {
             io.Send: self._send, io.Reject: self._reject, io.Fail: self._fail, io.Cancel: self._cancel,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -135,3 +135,24 @@
                 await asyncio.sleep(0.02)
             assert (await w.call(request())).status == 200
     run(scene)
+
+
+def paused(**options):
+    """The first pauses of a watch that is turned away again and again, after one that brought a list."""
+    discovery = watching.Discovery(("127.0.0.1", 1), 0, lambda found: None, **options)
+    return [discovery._pause(heard) for heard in (True, False, False, False, False)]
+
+
+def test_many_gateways_that_lose_a_shared_discovery_come_back_apart_and_ever_more_seldom():
+    async def scene():
+        fleet = [paused(ask_every_s=10.0) for _ in range(400)]
+        for pauses, most in zip(zip(*fleet, strict=True), (2.5, 5.0, 10.0, 10.0, 10.0), strict=True):
+            tenths = [int(10 * pause / most) for pause in pauses]
+            assert max(pauses) <= most and max(tenths.count(i) for i in range(10)) < 100
+    run(scene)
+
+
+def test_an_agent_of_its_own_is_asked_again_soon():
+    async def scene():
+        assert paused() == [0.1, 0.2, 0.4, 0.8, 1.0]
+    run(scene)
