--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import heapq
-import math
 import random
 import struct
 import zlib
@@ -105,14 +104,6 @@
         self.used += cost
         self.local -= cost
 
-    def open_share(self) -> float:
-        """Of the limit on attempts out: an even part, or more by the part of the use that comes in here."""
-        counted = self.total + (self.prev or 0)
-        if self.prev is None or counted <= 0:
-            return self.open_cap
-        own = min(1.0, (self.used + self.used_prev) / counted)
-        return max(self.open_cap, math.ceil(self.plan.open_limit * own))
-
     def want(self, direct: float) -> int:
         share = max(LEASE_SHARE, 1.0 - direct)
         cost = self.waiting[0].cost
@@ -317,7 +308,7 @@
         """Inside the rate. Where the plan limits attempts out, it may have to wait for one to end."""
         if isinstance(req, Ask):
             self.tell(now, req.peer, GRANT, req.nonce, req.cost)
-        elif req.bucket.plan.open_limit and req.bucket.open >= req.bucket.open_share():
+        elif req.bucket.plan.open_limit and req.bucket.open >= req.bucket.open_cap:
             req.bucket.gate.append(req)
             self.at(req.aim - self.mean, self.give_up, req)
         else:
