Count only the current window, in one call, where no gateway has a unit of the burst

Now, where a gateway's part of the burst is under one unit, there is no ceiling and no peer to ask: a borrow is one call, the window's budget alone counts and an empty window is empty until its end, as the design has it; an excess is paid back only while a unit is left; while calls fail, who was not found short within two windows is let in.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -18,6 +18,7 @@
 LEASE_SHARE = 0.06  # of last-window use that a lease adds: calls are cheap beside stranded tokens
 DIRECT_GAIN = 0.002  # a good counter call adds so much to the share of borrows that go to the counter at once
 DIRECT_LOSS = 0.5  # and a failed one leaves so much of it; the rest is asked of the customer's home gateway
+SHORT_WINDOWS = 2.0  # windows that a customer found short counts as beyond its quota while calls fail
 SHORT_WAIT = 0.125  # a home waits at least so much of a window where its borrow came back short
 HOMES = 3  # gateways of a customer's set that may be its home, in turn while one does not answer
 AWAY_MS = 1000.0  # a home that did not answer is passed over so long, or until it is heard
@@ -68,6 +69,7 @@
         self.left = 0  # lapsed leftovers of the window before, not yet returned
         self.level, self.level_at = float(self.cap), now - self.win_ms
         self.retry_at, self.pending = 0.0, 0  # pending: answers still out for the borrow in flight
+        self.short_at = -1e12  # when the shared window was last found short
         self.lease = self.lease_win = self.lease_total = 0
         self.waiting, self.gate = deque(), deque()  # for tokens; for an attempt out to end
         # Over this part of the limit on attempts out, requests wait for an own one to end.
@@ -77,6 +79,9 @@
         self.retold = False  # for what waits, the counter was asked once more after a spoilt answer
         self.part = 1.0 / (self.home or spread)
         self.local, self.local_at = self.cap * self.part, now
+        # So many gateways that none has a unit of the burst: what one sees of the customer tells it nothing,
+        # and each request costs a call. The window alone counts then: the one before costs a second call.
+        self.thin = self.cap * self.part < MILLI and plan.ceiling_rate <= 0 and not s.may_tell
         # Unconfirmed grants under a ceiling: a part of ceiling less quota, two units at least, from the first
         # home on. Starts empty: a gateway that was restarted cannot know what it granted before.
         extra = max(0.0, plan.ceiling_burst - plan.burst)
@@ -123,16 +128,22 @@
 
     def room(self, now: float) -> float:
         """What may still be drawn: the window's budget, or the carried store where that holds more."""
+        if self.thin:
+            return self.budget - self.total
         inside = 1.0 - (now % self.win_ms) / self.win_ms
         return max(self.budget - (self.prev or 0) * inside - self.total, self.level)
 
     def local_take(self, now: float, cost: int, odds: float) -> bool:
-        """The bounded local share that stands in for the counter while calls fail. A share under one request
-        is granted by odds (a draw below 1), and then owed, so that shares neither lapse nor round up."""
+        """The bounded local share that stands in for the counter while calls fail. A share under one request,
+        as many gateways have of a small burst, tells nothing of the customer: it is let in unless its window
+        was lately found short; then by odds (a draw below 1), and owed, so that shares neither lapse nor
+        round up."""
         self.local = min(self.cap * self.part, self.local + self.rate * self.part * (now - self.local_at))
         self.local_at = now
-        odds = odds if self.cap * self.part < cost else 1.0
-        if self.local < cost * odds - 1e-6 or self.local <= 0 or not self.spare_take(now, cost):
+        small = self.cap * self.part < cost
+        unknown = self.thin and now - self.short_at > SHORT_WINDOWS * self.win_ms
+        fits = unknown or self.local >= cost * (odds if small else 1.0) - 1e-6 and self.local > 0
+        if not fits or not self.spare_take(now, cost):
             return False
         self.spend(cost)
         self.owed += cost
@@ -411,7 +422,7 @@
         self.call_at = max(self.call_at, now + self.gap)
         if b.prev is None and b.home and b.used_prev and self.direct < 0.5:  # nearly all went through here
             b.prev, b.left = max(b.used_prev, (b.carry or 0) - b.left), 0
-        elif b.prev is None:
+        elif b.prev is None and not b.thin:
             b.pending = 2
             self.call(b, "prev", b.win - 1, -b.left)  # what lapsed here does not stay counted
             b.left = 0
@@ -477,7 +488,9 @@
             keep = max(0, min(b.lease, int(b.lease + room)))
             need = b.waiting[0].cost if b.waiting else MILLI
             if keep < need:  # not even one request fits: try again when the store has refilled that far
-                b.retry_at = now + max(self.s.tick_ms, min(b.win_ms, (need - room - b.lease) / b.rate))
+                b.short_at = now
+                wait = b.win_ms - now % b.win_ms if b.thin else (need - room - b.lease) / b.rate
+                b.retry_at = now + max(self.s.tick_ms, min(b.win_ms, wait))
                 if b.home and self.direct < 0.5:  # a few at a time, with fewer calls
                     b.retry_at = max(b.retry_at, now + b.win_ms * SHORT_WAIT)
                 keep = 0
@@ -485,7 +498,7 @@
             if excess and b.home and self.direct < 0.5:  # with the next call: nobody else borrows for it
                 b.owed -= excess
                 b.added += excess
-            elif excess:
+            elif excess and (not b.thin or b.lease + room >= MILLI):  # of no use where no unit is left
                 self.call(b, "back", b.win, -excess)
             b.level += excess
             b.total -= excess
--- a/tests/test_borrow.py
+++ b/tests/test_borrow.py
@@ -199,3 +199,54 @@
     again = of(out, io.Count)
     assert again and again[-1].amount == lease.amount and (p.g.direct, p.g.gap) == (1.0, 0.0)
     assert [s.request for s in of(p.counted(again, {}), io.Send)] == [name]
+
+
+def thin(**changes):
+    """A gateway of 40, and a customer whose burst leaves none of them a unit."""
+    return Play(gateways=40, plans={"basic": io.Plan("basic", rate=2.0, burst=16.0)}, **changes)
+
+
+def test_where_no_gateway_has_a_unit_of_the_burst_a_borrow_is_one_call():
+    p = thin()
+    _, out = p.request(plan="basic", spread=40)
+    (call,) = of(out, io.Count)
+    assert call.amount == 1.0
+    assert len(of(p.counted([call], {}), io.Send)) == 1
+
+
+def test_who_was_not_found_short_is_let_in_while_calls_fail_and_who_was_is_not():
+    p = thin()
+    p.g.rng.random = lambda: 0.99  # by odds, a share under one request would not be granted
+    _, out = p.request(plan="basic", customer="quiet", spread=40, units=4.0)
+    assert of(p.counted(out, outcome=io.Outcome.FULL), io.Send)
+
+    p.now += 1000.0
+    name, out = p.request(plan="basic", customer="heavy", spread=40, units=4.0)
+    (call,) = of(out, io.Count)
+    assert answers(p.counted([call], {call.name: 16.0}), name)
+    p.now += 8000.0  # the next window
+    name, out = p.request(plan="basic", customer="heavy", spread=40, units=4.0)
+    assert answers(p.counted(out, outcome=io.Outcome.FULL), name)
+
+
+def test_an_empty_window_is_not_asked_again_before_it_ends_and_not_paid_back_where_nothing_is_left():
+    p = thin()
+    name, out = p.request(plan="basic", spread=40, units=4.0)
+    (call,) = of(out, io.Count)
+    refused = p.counted([call], {call.name: 16.0})
+    assert answers(refused, name) and not of(refused, io.Count)
+    win_ms = 8000.0
+    p.now = (p.now // win_ms + 1) * win_ms - 1.0
+    name, out = p.request(plan="basic", spread=40)
+    assert answers(out, name) and not of(out, io.Count)
+    p.now += 2.0
+    assert of(p.request(plan="basic", spread=40)[1], io.Count)
+
+
+def test_a_unit_that_is_left_in_the_window_is_not_lost_to_a_larger_request():
+    p = thin()
+    name, out = p.request(plan="basic", spread=40, units=4.0)
+    (call,) = of(out, io.Count)
+    refused = p.counted([call], {call.name: 14.0})
+    assert answers(refused, name)
+    assert [c.amount for c in of(refused, io.Count)] == [-4.0]
