Open a silent watch anew 3 s after its last word, not after two windows

Cause: `discovery._watched` looked at `heard` in fixed windows of 5 s. A watch that spoke at the start of a window was taken for dead at the end of the next one, nearly 10 s later. What it misses counts as told 6 s after it fell silent, and sends have to stop 2 s after that (0.5 s in other settings).

Now a watch is timed from its last byte. One that says nothing at all is given up after 1 s, or after 5 s where calls wait their turn. An agent of its own is asked again after 0.1 s, without doubling; where calls are a load the first wait is at most 2.5 s, so that it ends before 6 s whatever the settings name. The tests play the clocks on a loop whose time does not pass by itself.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -18,11 +18,14 @@
 log = logging.getLogger(__name__)
 seldom = Seldom(log)
 
-SILENT_S = 5.0  # a watch says something every 2 s; one silent for longer is taken for dead
+SILENT_S = 3.0  # a watch says something every 2 s; what a silent one misses counts as told after 6 s
+ANSWER_S = 1.0  # a new watch says something at once, as the agent is near; a silent agent is asked again
+WAIT_S = 5.0  # but where calls wait their turn at a service that all gateways share, after this
+LOOK_S = 0.001  # timers go before what has come meanwhile: so long for that to be read
 CONNECT_S = 1.0  # the agent is near: a connection that is not up by then never comes up
-BACKOFF_S = 0.1  # wait before the first new try; doubles from there
-BACKOFF_MOST_S = 1.0
+BACKOFF_S = 0.1  # wait before a new try: what the agent has counts as told, so it is soon asked again
 CALM_SHARE = 0.25  # of the time between calls that the settings name: the first wait where calls are a load
+CALM_MOST_S = 2.5  # and at most this, as what a silent watch misses counts as told 6 s after it fell silent
 LINE_MOST = 1 << 22  # bytes of one line; more is no list of ours
 MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
 
@@ -66,19 +69,20 @@
     """One watch: its lines until the connection ends."""
 
     def __init__(self, target: str, host: str, line: Callable[[bytes], None]):
+        self._loop = asyncio.get_running_loop()
         self._request = f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
         self._line, self._rest = line, b""
         self._parser = httptools.HttpResponseParser(self)
-        self.ended = asyncio.get_running_loop().create_future()
+        self.ended = self._loop.create_future()
         self.transport: asyncio.Transport | None = None
-        self.heard = False  # since the last look
+        self.spoke, self.heard_at = False, self._loop.time()  # at all; when it last did, or came up
 
     def connection_made(self, transport) -> None:
-        self.transport = transport
+        self.transport, self.heard_at = transport, self._loop.time()
         transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
-        self.heard = True
+        self.spoke, self.heard_at = True, self._loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:  # what a callback raised is its context
@@ -105,6 +109,18 @@
         if not self.ended.done():
             self.ended.set_result(None)
 
+    async def fallen_silent(self, answer_s: float) -> None:
+        """Until it has ended, or said nothing for so long that it is taken for dead."""
+        while not self.ended.done():
+            left_s = self.heard_at + (SILENT_S if self.spoke else answer_s) - self._loop.time()
+            if left_s > 0.0:
+                await asyncio.wait([self.ended], timeout=min(left_s, SILENT_S))  # it may speak meanwhile
+                continue
+            heard_at = self.heard_at
+            await asyncio.sleep(LOOK_S)  # we may have stood still ourselves
+            if self.heard_at == heard_at:
+                return
+
 
 class Discovery:
     """Keeps a watch open; tells `told` of every list."""
@@ -149,11 +165,11 @@
     def _pause(self, heard: bool) -> float:
         """The wait before the next watch; `heard`: the last one brought a list. Where all gateways share the
         service it is drawn at random: many watches end at one moment, and would all be back at one."""
-        least, most = BACKOFF_S, BACKOFF_MOST_S
-        if self._ask_every_s > 0.0:
-            least, most = self._ask_every_s * CALM_SHARE, self._ask_every_s
-        self._wait = least if heard else min(most, self._wait * 2 or least)
-        return self._wait * (random.random() if self._ask_every_s > 0.0 else 1.0)
+        if self._ask_every_s <= 0.0:
+            return BACKOFF_S
+        least = min(CALM_MOST_S, self._ask_every_s * CALM_SHARE)
+        self._wait = least if heard else min(self._ask_every_s, self._wait * 2 or least)
+        return self._wait * random.random()
 
     async def _watched(self) -> None:
         """One watch from its start to its end."""
@@ -164,11 +180,7 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: watch, *self._where)
-            while not watch.ended.done():
-                watch.heard = False
-                await asyncio.wait([watch.ended], timeout=SILENT_S)
-                if not watch.heard:
-                    break
+            await watch.fallen_silent(WAIT_S if self._ask_every_s > 0.0 else ANSWER_S)
         except (OSError, TimeoutError):
             pass
         finally:  # also where this was called off: what an old place still says is not heard
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,66 @@
+"""An event loop whose clock stands still while anything is to be done, and else jumps to the next timer.
+
+What it plays takes no real time and is the same on any machine. It has no network: `connect` stands in.
+"""
+
+import asyncio
+import selectors
+
+
+class Selector(selectors.SelectSelector):
+    """Moves the clock on in place of waiting."""
+
+    def __init__(self, loop):
+        super().__init__()
+        self._loop = loop
+
+    def select(self, timeout=None):
+        assert timeout is not None, "nothing will ever happen"
+        self._loop.now += timeout
+        return super().select(0)
+
+
+class Loop(asyncio.SelectorEventLoop):
+    def __init__(self, connect=None):
+        self.now = 0.0
+        super().__init__(Selector(self))
+        self._connect = connect
+
+    def time(self):
+        return self.now
+
+    async def create_connection(self, factory, host=None, port=None, **options):
+        return await self._connect(factory(), host, port)
+
+
+class Transport(asyncio.Transport):
+    """This side's end of a connection: keeps what was written, and tells the protocol of the end."""
+
+    def __init__(self, loop, protocol):
+        super().__init__()
+        self._loop, self._protocol, self._over, self.written = loop, protocol, False, b""
+
+    def write(self, data):
+        self.written += data
+
+    def abort(self):
+        if not self._over:
+            self._over = True
+            self._loop.call_soon(self._protocol.connection_lost, None)
+
+    close = abort
+
+    def is_closing(self):
+        return self._over
+
+
+def run(scene, connect=None):
+    """Play a scene; nothing of it may be left open."""
+    loop = Loop(connect)
+    try:
+        return loop.run_until_complete(scene(loop))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0.01))
+        loop.close()
