Let no list older than one before take a backend's leave back

After SIGHUP the watch starts at the new place from the whole list. Where that place is behind the old one, its list names backends as ready that were announced as leaving before, and the module sent to them again.

Cause: `Discovery._heard` handed on every list as it came, whatever its generation. `move` clears the version for a reason, as generations of the old place may mean nothing at the new one, so older lists can't just be dropped.

Now a list with a lower generation than one before still counts, but for what was announced as leaving (or left out of a whole list) with the same last start: that stays draining until a newer list or another process says otherwise. What is kept in mind is bounded.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -26,6 +26,7 @@
 BACKOFF_S = 0.1  # wait before a new try: what the agent has counts as told, so it is soon asked again
 CALM_SHARE = 0.25  # of the time between calls that the settings name: the first wait where calls are a load
 CALM_MOST_S = 2.5  # and at most this, as what a silent watch misses counts as told 6 s after it fell silent
+LEAVING_MOST = 4096  # backends that are kept in mind as leaving
 LINE_MOST = 1 << 22  # bytes of one line; more is no list of ours
 MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
 
@@ -132,6 +133,9 @@
         self._where, self._version, self._told = where, version, told
         self._watch: Watch | None = None
         self._lists = 0  # heard so far
+        self._newest = version  # of all places so far
+        self._up: dict[str, float] = {}  # backends that were last said to be up, with their last start
+        self._leaving: dict[str, float] = {}  # and those said to leave, or left out of a whole list
         self._task: asyncio.Task | None = None
         self.first = asyncio.Event()  # set with the first list that is not merely remembered
 
@@ -189,6 +193,27 @@
 
     def _heard(self, line: bytes) -> None:
         found = listing(json.loads(line))
+        self._keep_leaving(found.event)
         self._told(found)
         self._version, self._lists = found.event.version, self._lists + 1
         self.first.set()
+
+    def _keep_leaving(self, event: io.BackendsChanged) -> None:
+        """A list older than one before, as a new place may have that is behind, takes no leave back: only
+        another process under that name does."""
+        stale, self._newest = event.version < self._newest, max(self._newest, event.version)
+        named = {backend.id for backend in event.backends}
+        if event.kind is io.ListKind.WHOLE:
+            for name in self._up.keys() - named:
+                self._leaving[name] = self._up.pop(name)
+        for backend in event.backends:
+            name, started = backend.id, backend.started_ms
+            if stale and backend.state is io.BackendState.UP and started <= self._leaving.get(name, -1.0):
+                backend.state = io.BackendState.DRAINING
+            elif backend.state is io.BackendState.UP:
+                self._up[name] = started
+                self._leaving.pop(name, None)
+            else:
+                self._leaving[name] = max(started, self._up.pop(name, 0.0))
+        while len(self._leaving) > LEAVING_MOST:
+            del self._leaving[next(iter(self._leaving))]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """Discovery: the remembered list first, then a watch that is resumed."""
 
 import asyncio
+import json
 
 import pytest
 import virtual
@@ -234,3 +235,48 @@
 
     opened, _ = watched(play)
     assert opened[1] > 21.0 + watching.SILENT_S
+
+
+def states(*events):
+    """What the gateway was told, list by list: the state of each backend that is named."""
+    async def scene():
+        told = []
+        discovery = watching.Discovery(("127.0.0.1", 1), 5, told.append)
+        for version, whole, *entries in events:
+            line = {"generation": version, "reset": whole, "instances": entries}
+            discovery._heard(json.dumps(line).encode())
+        told = [{backend.id: backend.state.value for backend in found.event.backends} for found in told]
+        seen.append(told)
+
+    seen = []
+    run(scene)
+    return seen[0]
+
+
+def test_an_older_list_takes_no_leave_back():
+    # A new place may be behind the old one: what has been told there still counts.
+    first = (7, True, entry("a"), entry("b"), entry("c", startedAtMs=5), entry("d"))
+    leaving = (8, False, entry("a", lifecycle="Terminating"), entry("c", lifecycle="Gone"))
+    older = (6, True, entry("a"), entry("b"), entry("c", startedAtMs=5), entry("d"))
+    shorter = (9, True, entry("b"))
+    assert states(first, leaving, older)[2] == {"a": "draining", "b": "up", "c": "draining", "d": "up"}
+    assert states(first, shorter, older)[2] == {"a": "draining", "b": "up", "c": "draining", "d": "draining"}
+
+
+def test_a_newer_list_or_another_process_counts_again():
+    first, leaving = (7, True, entry("a")), (8, False, entry("a", lifecycle="Terminating"))
+    assert states(first, leaving, (9, False, entry("a")))[2] == {"a": "up"}
+    assert states(first, leaving, (6, True, entry("a", startedAtMs=99)))[2] == {"a": "up"}
+
+
+def test_what_is_kept_of_backends_that_left_is_bounded(monkeypatch):
+    monkeypatch.setattr(watching, "LEAVING_MOST", 3)
+
+    async def scene():
+        discovery = watching.Discovery(("127.0.0.1", 1), 0, lambda found: None)
+        for i in range(9):
+            line = {"generation": i + 1, "instances": [entry(f"s{i}", lifecycle="Gone")]}
+            discovery._heard(json.dumps(line).encode())
+        assert list(discovery._leaving) == ["s6", "s7", "s8"]
+
+    run(scene)
