Take back what was not sent whole once its request is over, cancel allowed or not

A client left while the connection of its request to a backend came up (0.25 s and more), the settings allowed no cancel, and the request went out on the new connection all the same.

Cause: `brain.finish` calls attempts off only where `may_cancel` is set, and `Pool.opened` looks at `exchange.over`, which nothing else sets. But an attempt counts only once its last byte has come, so this is none yet and may always be dropped: the host does so in `_close`, the one place where a request stops being open. For the same reason `late` goes by `sent`: what was written in part only when its time was up never ran.

Excluded: `waiting`, `gate` and `ready` of the module, which pass over what is done (`recheck`, `on_ended`, `pump`); a further attempt, which `on_ended` makes only for what is not done; `Send` for what ended meanwhile, which `_send` answers as moot.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -55,8 +55,13 @@
             self.connection.abort()
         self.end(outcome)
 
+    def withdraw(self) -> None:
+        """Its request is over. What was not sent whole is no attempt yet, and does not become one."""
+        if not self.sent:
+            self.drop(io.Outcome.MOOT)
+
     def late(self) -> None:
-        self.drop(io.Outcome.TIMEOUT if self.connection is not None else io.Outcome.CONNECT_FAILED)
+        self.drop(io.Outcome.TIMEOUT if self.sent else io.Outcome.CONNECT_FAILED)
 
 
 class Connection(asyncio.Protocol):
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -148,6 +148,8 @@
             return False
         held.done = True
         held.timer.cancel()
+        for exchange in list(held.out.values()):
+            exchange.withdraw()
         return True
 
     def _answer(self, held: Held, status: int, body: bytes = b"", headers: bytes = b"") -> bool:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -350,6 +350,47 @@
     run(scene)
 
 
+@pytest.mark.parametrize("whole", [False, True])
+def test_what_is_withdrawn_while_it_is_written_never_comes_whole_and_what_was_sent_runs_on(whole):
+    async def scene():
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listening:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # too small for the request
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            listening.setblocking(False)
+            sender = Sender(listening.getsockname()[1])
+            exchange = sender.send(0, b"x" * (10 if whole else 16_000_000))
+            accepted, _ = await loop.sock_accept(listening)
+            with accepted:
+                await until(lambda: exchange.connection)
+                exchange.withdraw()
+                if whole:
+                    await loop.sock_sendall(accepted, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await until(lambda: exchange.over)
+            assert sender.outcomes() == [io.Outcome.OK if whole else io.Outcome.MOOT]
+    run(scene)
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_what_was_not_sent_whole_in_its_time_was_never_reached(whole):
+    async def scene():
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listening:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            listening.setblocking(False)
+            sender = Sender(listening.getsockname()[1])
+            exchange = sender.send(0, b"x" * (10 if whole else 16_000_000))
+            accepted, _ = await loop.sock_accept(listening)
+            with accepted:
+                await until(lambda: exchange.connection)
+                exchange.late()
+            assert sender.outcomes() == [io.Outcome.TIMEOUT if whole else io.Outcome.CONNECT_FAILED]
+    run(scene)
+
+
 def test_a_request_larger_than_the_socket_takes_at_once_is_sent_whole():
     async def scene():
         backend = await Backend().start()
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -4,6 +4,7 @@
 import logging
 import time
 
+import pytest
 from test_config import loaded, told
 from world import (
     HOST,
@@ -15,6 +16,7 @@
     World,
     broken,
     free_port,
+    named,
     ok,
     request,
     run,
@@ -162,6 +164,69 @@
     run(scene)
 
 
+class Gate:
+    """An event loop whose connections come up only when let."""
+
+    def __init__(self, loop):
+        self._loop, self.wanted, self.open = loop, asyncio.Event(), asyncio.Event()
+
+    def __getattr__(self, name):
+        return getattr(self._loop, name)
+
+    async def create_connection(self, *args, **options):
+        self.wanted.set()
+        await self.open.wait()
+        return await self._loop.create_connection(*args, **options)
+
+
+class Inside:
+    """A host in this process, with one backend, and a client's connection to it."""
+
+    def __init__(self, tmp_path, cancel):
+        self._path, self._cancel = tmp_path, cancel
+
+    async def __aenter__(self):
+        self.backend, counter = await Backend().start(), await Counter().start()
+        known = {"generation": 1, "instances": [Discovery().entry("b1", self.backend.port)]}
+        limits = {"policyLimits": {"cancel": self._cancel, "connectTimeoutMs": 30000.0}}
+        config = loaded(self._path, told(
+            known=known, counter=f"127.0.0.1:{counter.port}", settings=settings(**limits)))
+        self.host, self.listen = host.Host(config), free_port()
+        self.gate = self.host.backends.loop = Gate(asyncio.get_running_loop())
+        self.host.counter.start()
+        self.host.listed(config.known)
+        self.host.clients.listen(HOST, self.listen)
+        return self
+
+    async def __aexit__(self, *error):
+        self.host.clients.stop_listening()
+        self.backend.server.close()
+
+    async def connect(self):
+        return Connection(*await asyncio.open_connection(HOST, self.listen))
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent(tmp_path, cancel):
+    # Where the settings allow no cancel, nothing takes back an attempt; but this is none yet.
+    async def scene():
+        async with Inside(tmp_path, cancel) as w:
+            client = await w.connect()
+            client.send(request("pay", name="left"))
+            await w.gate.wanted.wait()
+            client.writer.close()
+            await until(lambda: not w.host.clients._open)
+            w.gate.open.set()
+            await until(lambda: w.backend.connections == 1)
+            second = await w.connect()
+            second.send(request("pay", name="stays"))
+            assert (await second.answer()).status == 200
+            assert [seen.headers["x-request-id"] for seen in w.backend.seen] == [named("stays")]
+            assert not w.host._module.requests and not w.host._requests
+
+    run(scene)
+
+
 def test_a_timer_is_never_early():
     # Nothing else happens in this gateway: what the module's timer misses is not made up by other events.
     async def scene():
