Go on reading behind pipelined requests; let in what waits at the door before it closes

A client's end behind a pipelined request was not seen: `Client._next` paused reading while anything was queued, so a request whose client had left while it waited behind another on its connection was sent on all the same. Reading now goes on. What is read ahead stays bounded, in requests as before and in bytes as well; more is refused behind what was read. A client that floods behind a request that is still open is cut off.

At SIGTERM, `stop_listening` closed the door on connections that the machine had accepted and the program had not: those were reset with their requests, which count as taken. They are let in first, and the drain waits for them. `_close_idle` closed connections whose request had come and was unread (a reset, and one more connection for the client) and those just made; a new connection that is closed with no answer counts as refused.

Excluded: requests half read (`_reading`), which are never idle; answers in the write buffer, which an orderly close sends first.

--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 from collections import deque
 from typing import Protocol
@@ -28,6 +29,8 @@
 ROOM_SHARE = 0.8  # of the connections allowed; above it those that matter least give way
 EASY_SHARE = 0.3  # and above this, those that stood idle for IDLE_S
 QUEUE_MOST = 32  # requests read ahead on one connection
+AHEAD_MOST = 2 * MOST_BYTES  # and bytes; reading goes on all the while, or a client's end would not be seen
+DRAIN_NEW_S = 0.3  # while draining, a new connection has so long to begin a request
 SPEAK_S = 0.02  # so long what is newly connected has to begin a request before it may have to give way
 ACCEPT_MOST = 16  # connections taken at once, before what they have to say is read
 ACCEPT_S = 0.005  # wait for room to take more
@@ -60,7 +63,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reading: Message | None = None  # not yet whole
         self._size = self._unread = 0  # of its head, then of its body; bytes since it began
-        self._in_head = self._stopped = False
+        self._ahead = 0  # bytes read since requests began to queue
+        self._in_head = False
         self._body: list[bytes] = []
         self._queue: deque[Message | Bad] = deque()
         self._current: Message | None = None  # awaits its answer
@@ -91,11 +95,14 @@
         if self._deaf:
             self._dropped += len(data)
             if self._dropped > LINGER_MOST and not self.transport.is_closing():
-                self.transport.pause_reading()
+                # With the last answer out, what more comes is left to wait for the end; before that, nobody
+                # would see the client leave.
+                (self.transport.pause_reading if self.ended else self.transport.abort)()
             return
         if self.spoke and self._reading is None:
             self.since = self._clients.loop.time()
         self._unread += len(data)
+        self._ahead = self._ahead + len(data) if self._queue else 0
         try:
             self._parser.feed_data(data)
             if self._reading is not None and self._unread > 2 * MOST_BYTES:
@@ -138,7 +145,7 @@
         return 2 if now - self.since >= IDLE_S else None
 
     def on_message_begin(self) -> None:
-        if len(self._queue) >= QUEUE_MOST:
+        if len(self._queue) >= QUEUE_MOST or self._ahead > AHEAD_MOST:
             raise Bad(429, "too many requests at once")
         self._reading, self._body, self._size, self._in_head = Message(), [], 0, True
         self.spoke = True
@@ -186,7 +193,7 @@
     # Answering.
 
     def _next(self) -> None:
-        """Take up what was read next. Pipelined input waits its turn, and no more of it is read meanwhile."""
+        """Take up what was read next. Pipelined input waits its turn."""
         while self._current is None and self._queue and not self._full:
             item = self._queue.popleft()
             if isinstance(item, Bad):
@@ -196,14 +203,16 @@
             else:
                 self._current = item
                 self._clients.take(self, item)
-        stop = bool(self._queue)
-        if stop is not self._stopped and not self.transport.is_closing():
-            self._stopped = stop
-            (self.transport.pause_reading if stop else self.transport.resume_reading)()
 
     def idle(self) -> bool:
         return self._current is None and self._reading is None and not self._queue and not self.ended
 
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: closing now would reset it."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def answer(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
         """The one answer to the current request."""
         # While draining too, what was read behind this request is still answered.
@@ -270,17 +279,26 @@
                 self._wait_for_room()
                 return
             try:
-                sock, _ = self._listening.accept()
-            except (BlockingIOError, ConnectionError):
-                return
+                if not self._take_in():
+                    return
             except OSError as error:  # no descriptor left: the loop would try it again and again
                 seldom.warning("no connection can be taken: %s", error)
                 self._wait_for_room()
                 return
-            sock.setblocking(False)
-            task = self.loop.create_task(self._connected(sock))
-            self._opening.add(task)
-            task.add_done_callback(self._opening.discard)
+
+    def _take_in(self) -> bool:
+        """One connection from the queue of the listening socket; whether there was one."""
+        try:
+            sock, _ = self._listening.accept()
+        except BlockingIOError:
+            return False
+        except ConnectionError:  # it has gone again
+            return True
+        sock.setblocking(False)
+        task = self.loop.create_task(self._connected(sock))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+        return True
 
     def _wait_for_room(self) -> None:
         self.loop.remove_reader(self._listening)
@@ -322,6 +340,8 @@
         for client in list(self._open):
             client.look(now)
         self._close(len(self._open) - self._easy, (2,))
+        if self.draining:
+            self._close_idle()
         self.loop.call_later(SWEEP_S, self._sweep)
 
     def closed(self, client: Client) -> None:
@@ -352,14 +372,21 @@
         self._close_idle()
 
     def stop_listening(self) -> None:
+        """What the machine has accepted counts as taken: it is let in before the door closes."""
         self.loop.remove_reader(self._listening)
+        with contextlib.suppress(OSError):  # no descriptor is left for more
+            for _ in range(BACKLOG):
+                if not self._take_in():
+                    break
         self._listening.close()
         self._close_idle()
 
     def _close_idle(self) -> None:
+        """Neither what has a request on its way nor what has only just connected to send one."""
+        new = self.loop.time() - DRAIN_NEW_S
         for client in list(self._open):
-            if client.idle():
+            if client.idle() and (client.spoke or client.since <= new) and not client.unread():
                 client.transport.close()
 
     def any_open(self) -> bool:
-        return bool(self._open)
+        return bool(self._open or self._opening)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from world import CUSTOMER, Backend, Hold, World, named, ok, request, run, status, until
+from world import CLASSES, CUSTOMER, Backend, Hold, World, named, ok, request, run, status, until
 
 from elderhub import clients
 
@@ -341,3 +341,61 @@
             answer = await w.call(request(X_Timeout="0.3"))
             assert answer.status == 503
     run(scene)
+
+
+# Deadlines longer than any test may last: what ends before ended for another reason.
+PATIENT = {"classes": [{**entry, "giveUpMs": 120000.0} for entry in CLASSES]}
+
+
+@pytest.mark.parametrize("more", [1, 5, 400])
+def test_a_client_that_leaves_with_requests_waiting_behind_one_another_is_noticed(more):
+    # Reading has to go on while they wait their turn, or none of it would be called off.
+    async def scene():
+        hold = Hold()
+        backend = Backend(hold)
+        async with World({"b1": backend}, changes=PATIENT) as w:
+            client = await w.connect()
+            client.send(b"".join(request(name=f"r{i}", X_Timeout="120") for i in range(1 + more)))
+            await hold.reached.wait()
+            client.writer.transport.abort()
+            await until(lambda: backend.readers[0].at_eof())  # the first one is called off
+            hold.release.set()
+            assert (await w.call(request(name="next"))).status == 200
+            assert [seen.headers["x-request-id"] for seen in backend.seen] == [named("r0"), named("next")]
+            assert "Traceback" not in w.log.read_text()
+    run(scene)
+
+
+def test_what_is_read_ahead_is_bounded_in_bytes_and_still_answered_in_order():
+    async def scene():
+        hold = Hold()
+        backend = Backend(hold)
+        async with World({"b1": backend}) as w:
+            client = await w.connect()
+            client.send(request("hold", name="r0"))
+            await hold.reached.wait()
+            body = b"x" * 60_000
+            client.send(b"".join(request("hold", name=f"r{i}", body=body) for i in range(1, 31)))
+            await client.writer.drain()
+            hold.release.set()
+            codes = []
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    codes.append((await client.answer()).status)
+            assert codes == [200] * len(backend.seen) + [429] and len(codes) < 12
+    run(scene)
+
+
+def test_a_client_that_floods_behind_a_request_is_cut_off_and_its_request_called_off():
+    async def scene():
+        hold = Hold()
+        backend = Backend(hold)
+        async with World({"b1": backend}, changes=PATIENT) as w:
+            client = await w.connect()
+            client.send(request("hold", name="r0", X_Timeout="120"))
+            await hold.reached.wait()
+            client.send(b"\x00" * (clients.LINGER_MOST + (4 << 20)))
+            await until(lambda: backend.readers[0].at_eof())
+            hold.release.set()
+            assert (await w.call(request(name="next"))).status == 200
+    run(scene)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -160,3 +160,67 @@
             assert await w.program.wait() == 0
             second.server.close()
     run(scene)
+
+
+PATCH_CLOSED_DOOR = """
+def deaf(self):
+    pass
+clients.Clients._accept = deaf
+"""
+
+
+def test_connections_in_the_queue_of_the_door_are_let_in_before_it_closes():
+    # The machine has accepted them, and so they count as taken, though the program has not seen them yet.
+    async def scene():
+        backend = Backend()
+        world = World({"b1": backend}, waits=False, patch=PATCH_CLOSED_DOOR)
+        async with world as w:
+            waiting = None
+            while waiting is None:
+                try:
+                    waiting = await w.connect()
+                except ConnectionError:
+                    await asyncio.sleep(0.02)
+            more = [await w.connect() for _ in range(2)]  # no more than is sent on at once
+            for i, client in enumerate([waiting, *more]):
+                client.send(request(name=f"r{i}"))
+            await w.discovery.watched.wait()
+            w.program.send_signal(signal.SIGTERM)
+            for client in [waiting, *more]:
+                answer = await client.answer()
+                assert (answer.status, answer.headers["connection"]) == (200, "close")
+            assert await w.program.wait() == 0
+    run(scene)
+
+
+def test_a_connection_with_a_request_unread_or_one_just_made_is_not_closed_as_idle():
+    async def scene():
+        hold = Hold()
+        async with World({"b1": Backend(hold)}, patch="clients.DRAIN_NEW_S = 5.0; main.ACCEPT_S = 5.0") as w:
+            busy = await w.connect()
+            busy.send(request())
+            await hold.reached.wait()
+            new = await w.connect()  # accepted, and has said nothing
+            await stopping(w)
+            new.send(request(name="r2"))
+            hold.release.set()
+            for client in (busy, new):
+                answer = await client.answer()
+                assert (answer.status, answer.headers["connection"]) == (200, "close")
+            assert await w.program.wait() == 0
+    run(scene)
+
+
+def test_a_connection_that_stays_silent_is_closed_while_draining():
+    async def scene():
+        hold = Hold()
+        async with World({"b1": Backend(hold)}) as w:
+            busy, silent = await w.connect(), await w.connect()
+            busy.send(request())
+            await hold.reached.wait()
+            await stopping(w)
+            assert await silent.ended()  # while another request still runs
+            hold.release.set()
+            assert (await busy.answer()).status == 200
+            assert await w.program.wait() == 0
+    run(scene)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -186,11 +186,11 @@
         self._path, self._cancel = tmp_path, cancel
 
     async def __aenter__(self):
-        self.backend, counter = await Backend().start(), await Counter().start()
+        self.backend, self.counter = await Backend().start(), await Counter().start()
         known = {"generation": 1, "instances": [Discovery().entry("b1", self.backend.port)]}
         limits = {"policyLimits": {"cancel": self._cancel, "connectTimeoutMs": 30000.0}}
         config = loaded(self._path, told(
-            known=known, counter=f"127.0.0.1:{counter.port}", settings=settings(**limits)))
+            known=known, counter=f"127.0.0.1:{self.counter.port}", settings=settings(**limits)))
         self.host, self.listen = host.Host(config), free_port()
         self.gate = self.host.backends.loop = Gate(asyncio.get_running_loop())
         self.host.counter.start()
@@ -200,7 +200,10 @@
 
     async def __aexit__(self, *error):
         self.host.clients.stop_listening()
-        self.backend.server.close()
+        for server in (self.backend, self.counter):
+            server.server.close()
+            for writer in server.writers:
+                writer.transport.abort()
 
     async def connect(self):
         return Connection(*await asyncio.open_connection(HOST, self.listen))
