Rest a connection 20 ms after its answer; use none that its backend may be closing

A connection was used again 5 ms after its answer, and one that came later would have been taken for the answer to the next request, which loses it. A connection that has brought no answer yet needs no rest.

`Pool._free` looks at the age itself.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -19,7 +19,7 @@
 IDLE_SHARE = 0.5  # of the backends' own idle limit, after which a connection is no longer used
 BACKEND_MOST = 64  # connections to one backend
 BODY_S = 0.5  # an answer whose body is not whole so long after its head is not waited for
-REST_S = 0.005  # a connection is used again after this: what else came with the answer before is seen by then
+REST_S = 0.02  # a connection is used again after this: a second answer may come some milliseconds late
 SENT_MOST = 2 * MOST_BYTES  # bytes of one answer, with all that announces and frames it
 SWEEP_S = 1.0
 OWN_HEADERS = HOP_BY_HOP | {b"content-length", b"x-server-load", b"x-not-processed"}
@@ -252,10 +252,12 @@
         self._backends.background(self._open(exchange))
 
     def _free(self, rested: float) -> Connection | None:
-        """The latest used that has stood idle since then, as far as it can still be used."""
+        """The latest used that has stood idle since then, as far as it can still be used: not where the
+        backend may be about to close it, even if the sweep has not come by yet."""
+        stale = self.loop.time() - self._backends.idle_s
         for connection in [x for x in reversed(self.free) if x.idle_since <= rested]:
             self.free.remove(connection)
-            if connection.usable():
+            if connection.idle_since > stale and connection.usable():
                 return connection
             connection.abort()
         return None
@@ -279,6 +281,7 @@
             connection.abort()
         elif exchange.over:
             self.idle(connection)
+            connection.idle_since -= REST_S  # it has brought no answer yet that another could follow
         else:
             connection.start(exchange)
 
@@ -311,7 +314,7 @@
     def __init__(self, settings: io.Settings, keepalive_ms: float, most: int):
         self.loop = asyncio.get_running_loop()
         self.connect_s = settings.connect_timeout_ms / 1000.0
-        self._idle_s, self._most = keepalive_ms * IDLE_SHARE / 1000.0, most
+        self.idle_s, self._most = keepalive_ms * IDLE_SHARE / 1000.0, most
         self._pools: dict[str, Pool] = {}  # those that take new work
         self._parting: set[Pool] = set()  # those that only finish what they have
         self._tasks: set[asyncio.Task] = set()
@@ -321,7 +324,7 @@
         self._sweep()
 
     def _sweep(self) -> None:
-        before = self.loop.time() - self._idle_s
+        before = self.loop.time() - self.idle_s
         for pool in self._pools.values():
             pool.retire(before)
         self._parting = {pool for pool in self._parting if pool.all or pool.opening}
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -264,6 +264,23 @@
     run(scene)
 
 
+def test_a_connection_idle_for_too_long_is_not_used_though_no_sweep_has_come_by():
+    # The backend closes it about now: a request written to it could be reset, and may then have run.
+    async def scene():
+        backend = await Backend().start()
+        sender = Sender(backend.port)
+        first = sender.send(0)
+        await until(lambda: first.over)
+        pool = sender.backends._pools["b0"]
+        pool.free[0].idle_since -= sender.backends.idle_s
+        second = sender.send(0)
+        await until(lambda: second.over)
+        assert sender.outcomes() == [io.Outcome.OK] * 2 and backend.connections == 2
+        await until(lambda: backend.ended == 1)
+        backend.server.close()
+    run(scene)
+
+
 def test_a_time_out_closes_its_connection():
     async def scene():
         backend = Backend(Hold())
