Take a list of any length in slices, and hand on only what it changes

Cause: a watch's body was split by lines and a whole line decoded and taken in at once. Over LINE_MOST (4 MiB) it was refused: 26,000 entries are 4.28 MB, so such a fleet was never learned. An object spread over several lines was refused too. Under it, the loop stood still for all of a list. And each whole list went to the pools and the module whole, also when it was the one known already.

Change: - elderhub/lists.py reads the stream as it comes and decodes entry by entry, keys in any order, over any lines. Undecoded text is bounded (64 Ki characters), and so are the entries of one object and the backends known. - Discovery takes in 8 entries at once, and goes on after all else that waits; until then it reads no more from the socket, and the watch does not count as silent. White space in the middle of an object is no sign of life: an object that does not go on is a watch fallen silent. - Each entry is compared with what is known, and only what differs goes on, as a change; what a whole list does not name is removed once the list has ended, so one that breaks off removes nothing. The version moves on when an object was whole. An older list still takes no leave back, also where it says its generation last.

Tests that follow the new structure: those that called `_heard` with a line feed the reader and take every slice; what was asserted of one told list is asserted of the states that all told parts add up to, and the malformed list is now checked on both ways in.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -230,9 +230,9 @@
 class Pool:
     """One backend: its address, its connections, and the exchanges that wait for one to open."""
 
-    def __init__(self, backends: Backends, where: Address, started: float):
+    def __init__(self, backends: Backends, where: Address):
         self.loop, self._backends = backends.loop, backends
-        self.where, self.started, self.closed = where, started, False
+        self.where, self.closed = where, False
         self.all: set[Connection] = set()
         self.free: list[Connection] = []  # the latest used last
         self.opening: dict[Exchange, None] = {}
@@ -315,7 +315,8 @@
         self.loop = asyncio.get_running_loop()
         self.connect_s = settings.connect_timeout_ms / 1000.0
         self.idle_s, self._most = keepalive_ms * IDLE_SHARE / 1000.0, most
-        self._pools: dict[str, Pool] = {}  # those that take new work
+        self._places: dict[str, tuple[Address, float]] = {}  # that take new work: where, since when
+        self._pools: dict[str, Pool] = {}  # of those that were sent anything lately
         self._parting: set[Pool] = set()  # those that only finish what they have
         self._tasks: set[asyncio.Task] = set()
         self._path = b"/load" if settings.reports else b"/healthz"
@@ -325,8 +326,10 @@
 
     def _sweep(self) -> None:
         before = self.loop.time() - self.idle_s
-        for pool in self._pools.values():
+        for name, pool in list(self._pools.items()):
             pool.retire(before)
+            if not pool.all and not pool.opening:
+                del self._pools[name]
         self._parting = {pool for pool in self._parting if pool.all or pool.opening}
         self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -350,25 +353,33 @@
     def listed(self, found: Listing) -> list[Pool]:
         """Where backends listen, as discovery has it now. Those that are returned get nothing new: the caller
         closes them once the module knows, or it would try them again for what that ends."""
-        now = {backend.id: backend for backend in found.event.backends}
-        up = {name: backend for name, backend in now.items() if backend.state is io.BackendState.UP}
-        whole = found.event.kind is not io.ListKind.CHANGES
         parted = []
-        for name, pool in list(self._pools.items()):
-            same = name in up and (pool.where, pool.started) == (found.addresses[name], up[name].started_ms)
-            if not same and (whole or name in now):  # drains, gone, moved, or another process by now
-                parted.append(self._pools.pop(name))
-        for name, backend in up.items():
-            if name not in self._pools:
-                self._pools[name] = Pool(self, found.addresses[name], backend.started_ms)
+        if found.event.kind is not io.ListKind.CHANGES:
+            named = {backend.id for backend in found.event.backends}
+            parted += [self._part(name) for name in list(self._places) if name not in named]
+        for backend in found.event.backends:
+            up = backend.state is io.BackendState.UP
+            place = (found.addresses[backend.id], backend.started_ms) if up else None
+            if place != self._places.get(backend.id):  # drains, gone, moved, or another process by now
+                parted.append(self._part(backend.id))
+                if up:
+                    self._places[backend.id] = place
+        parted = [pool for pool in parted if pool is not None]
         self._parting.update(parted)
         return parted
 
+    def _part(self, name: str) -> Pool | None:
+        self._places.pop(name, None)
+        return self._pools.pop(name, None)
+
     def any_up(self) -> bool:
-        return bool(self._pools)
+        return bool(self._places)
 
     def send(self, exchange: Exchange) -> None:
         pool = self._pools.get(exchange.backend)
+        if pool is None and exchange.backend in self._places:
+            where, _ = self._places[exchange.backend]
+            pool = self._pools[exchange.backend] = Pool(self, where)
         wait_s = exchange.until - self.loop.time()
         if pool is None or wait_s <= 0:
             exchange.end(io.Outcome.CONNECT_FAILED)
--- a/elderhub/config.py
+++ b/elderhub/config.py
@@ -86,7 +86,7 @@
         peer_listen=peer_listen if settings.may_tell else None, peers=peers, peers_all=peers_all,
         seed=int(str(raw.get("seed") or "0"), 16), sockets=sockets,
         keepalive_ms=float((info.get("policyLimits") or {}).get("keepaliveMs") or 15000.0),
-        known=listing(raw.get("known") or {}, io.ListKind.REMEMBERED), settings=settings)
+        known=listing(raw.get("known") or {}), settings=settings)
 
 
 def _optional(raw: dict, key: str) -> Address | None:
--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from itertools import islice
 
 import httptools
 
 from cobaltline import interface as io
 
+from .lists import ENTRIES_MOST, Part, Reader
 from .wire import Address, Seldom, address
 
 log = logging.getLogger(__name__)
@@ -26,8 +28,10 @@
 BACKOFF_S = 0.1  # wait before a new try: what the agent has counts as told, so it is soon asked again
 CALM_SHARE = 0.25  # of the time between calls that the settings name: the first wait where calls are a load
 CALM_MOST_S = 2.5  # and at most this, as what a silent watch misses counts as told 6 s after it fell silent
-LEAVING_MOST = 4096  # backends that are kept in mind as leaving
-LINE_MOST = 1 << 22  # bytes of one line; more is no list of ours
+LEAVING_MOST = 4096  # backends that are kept in mind as leaving; as many as are known, if that is more
+SLICE = 8  # entries taken in at once, about 0.1 ms of work: a request needs some turns of the loop
+NAMES_SLICE = 64  # backends of which it is looked up at once whether a whole list named them
+KNOWN_MOST = 2 * ENTRIES_MOST  # backends: what a list names, and what it is about to leave out
 MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
 
 STATES = {
@@ -37,76 +41,113 @@
 
 @dataclass(slots=True)
 class Listing:
-    """A list or its changes: for the module, and where each backend listens."""
+    """A list or changes of it: for the module, and where each backend listens."""
 
     event: io.BackendsChanged
     addresses: dict[str, Address]
 
 
-def listing(raw: dict, kind: io.ListKind | None = None) -> Listing:
-    """Discovery's form of a list; raises one of MALFORMED where it is none."""
-    if kind is None:
-        kind = io.ListKind.WHOLE if raw.get("reset") else io.ListKind.CHANGES
-    backends, addresses = [], {}
-    for entry in raw.get("instances") or ():
-        try:
-            backend = _backend(entry)
-            if backend.state is not io.BackendState.REMOVED:
-                addresses[backend.id] = address(entry["hostPort"])
-            backends.append(backend)
-        except MALFORMED as error:  # one bad entry must not hide the others
-            seldom.warning("discovery: %.200r is passed over: %r", entry, error)
-    return Listing(io.BackendsChanged(kind, int(raw.get("generation") or 0), tuple(backends)), addresses)
+def listing(raw: dict) -> Listing:
+    """Discovery's form of a list, as remembered; raises one of MALFORMED where it is none."""
+    found = [entry for entry in map(_entry, raw.get("instances") or ()) if entry is not None]
+    addresses = {backend.id: where for backend, where in found if where is not None}
+    version, backends = int(raw.get("generation") or 0), tuple(backend for backend, _ in found)
+    return Listing(io.BackendsChanged(io.ListKind.REMEMBERED, version, backends), addresses)
 
 
-def _backend(entry: dict) -> io.Backend:
-    return io.Backend(
-        id=str(entry["instanceId"]), zone=str(entry.get("zone", "")), kind=str(entry.get("machineType", "")),
-        cell=int(entry.get("cell") or 0), state=STATES[entry["lifecycle"]],
-        weight=float(entry.get("weight", 1.0)), started_ms=float(entry.get("startedAtMs") or 0.0))
+def _entry(raw: dict) -> tuple[io.Backend, Address | None] | None:
+    """A backend and where it listens, unless it is gone; none where it can't be read."""
+    try:
+        backend = io.Backend(
+            id=str(raw["instanceId"]), zone=sys.intern(str(raw.get("zone", ""))),
+            kind=sys.intern(str(raw.get("machineType", ""))), cell=int(raw.get("cell") or 0),
+            state=STATES[raw["lifecycle"]], weight=float(raw.get("weight", 1.0)),
+            started_ms=float(raw.get("startedAtMs") or 0.0))
+        return backend, None if backend.state is io.BackendState.REMOVED else address(raw["hostPort"])
+    except MALFORMED as error:  # one bad entry must not hide the others
+        seldom.warning("discovery: %.200r is passed over: %r", raw, error)
+        return None
 
 
 class Watch(asyncio.Protocol):
-    """One watch: its lines until the connection ends."""
+    """One watch, until its connection ends and what came over it is taken in. `take` does a slice of that;
+    what is left is done after all else that waits, and until then nothing more is read."""
 
-    def __init__(self, target: str, host: str, line: Callable[[bytes], None]):
+    def __init__(self, target: str, host: str, take: Callable[[Reader], bool]):
         self._loop = asyncio.get_running_loop()
         self._request = f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
-        self._line, self._rest = line, b""
+        self._take, self._reader = take, Reader()
+        self._busy = self._complete = self._lost = self._over = False
         self._parser = httptools.HttpResponseParser(self)
         self.ended = self._loop.create_future()
         self.transport: asyncio.Transport | None = None
         self.spoke, self.heard_at = False, self._loop.time()  # at all; when it last did, or came up
+        self._blank: bool | None = None  # whether what came last is white space alone
 
     def connection_made(self, transport) -> None:
         self.transport, self.heard_at = transport, self._loop.time()
         transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
+        spoke_at, self._blank = self.heard_at, None
         self.spoke, self.heard_at = True, self._loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:  # what a callback raised is its context
             seldom.warning("discovery: %r", error.__context__ or error)
-            self.transport.abort()
+            self.stop()
+            return
+        if self._blank and self._reader.inside:
+            self.heard_at = spoke_at  # white space does not bring an object to its end
+        if not self._busy:
+            self._work()
 
     def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
             raise ValueError(f"answered {self._parser.get_status_code()}")
 
     def on_body(self, body: bytes) -> None:
-        *lines, self._rest = (self._rest + body).split(b"\n")
-        if len(self._rest) > LINE_MOST:
-            raise ValueError("a line without an end")
-        for line in lines:
-            if line.strip():
-                self._line(line)
+        self._blank = self._blank is not False and body.isspace()
+        self._reader.feed(body)
 
     def on_message_complete(self) -> None:
-        self.transport.close()
+        self._complete = True
+
+    def _work(self) -> None:
+        if self._over:
+            return
+        try:
+            more = self._take(self._reader)
+        except Exception as error:
+            seldom.warning("discovery: %r", error)
+            self.stop()
+            return
+        if more != self._busy and not self._lost:
+            (self.transport.pause_reading if more else self.transport.resume_reading)()
+        if self._busy or more:
+            self.heard_at = self._loop.time()  # what came meanwhile is still to be read
+        self._busy = more
+        if more:
+            self._loop.call_soon(self._work)
+        elif self._lost:
+            self._end()
+        elif self._complete:
+            self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         self._parser = None  # they hold each other
+        self._lost = True
+        if not self._busy:
+            self._end()
+
+    def stop(self) -> None:
+        """What is left of it is not heard."""
+        self._over = True
+        if self.transport is not None:
+            self.transport.abort()
+        self._end()
+
+    def _end(self) -> None:
         if not self.ended.done():
             self.ended.set_result(None)
 
@@ -123,8 +164,19 @@
                 return
 
 
+@dataclass(slots=True)
+class Taken:
+    """What has been taken in of the object that is under way."""
+
+    version: int | None = None
+    stale: bool | None = None  # older than one before
+    named: set[str] = field(default_factory=set)
+    held: list[tuple[io.Backend, Address]] = field(default_factory=list)  # until it shows whether it is stale
+    unnamed: Iterator[str] | None = None  # once it has ended and was a whole list: all that it may leave out
+
+
 class Discovery:
-    """Keeps a watch open; tells `told` of every list."""
+    """Keeps a watch open; tells `told` what each list changes, in parts. The last part may hold nothing."""
 
     def __init__(
             self, where: Address, version: int, told: Callable[[Listing], None], ask_every_s: float = 0.0):
@@ -134,24 +186,33 @@
         self._watch: Watch | None = None
         self._lists = 0  # heard so far
         self._newest = version  # of all places so far
-        self._up: dict[str, float] = {}  # backends that were last said to be up, with their last start
-        self._leaving: dict[str, float] = {}  # and those said to leave, or left out of a whole list
+        self._known: dict[str, tuple[io.Backend, Address]] = {}  # those not gone, as last told
+        self._leaving: dict[str, float] = {}  # or left out of a whole list; with their start
+        self._taken = Taken()
         self._task: asyncio.Task | None = None
         self.first = asyncio.Event()  # set with the first list that is not merely remembered
 
+    def remember(self, found: Listing) -> None:
+        """What is known before the first watch."""
+        self._known = {
+            backend.id: (backend, found.addresses[backend.id])
+            for backend in found.event.backends if backend.state is not io.BackendState.REMOVED}
+
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()
+        if self._watch is not None:
+            self._watch.stop()
 
     def restart(self, whole: bool = False) -> None:
         """Watch anew, from the whole list if that is wanted."""
         if whole:
             self._version = 0
         if self._watch is not None and self._watch.transport is not None:
-            self._watch.transport.abort()
+            self._watch.stop()
 
     def move(self, where: Address) -> None:
         """Watch there, at once, and from the whole list: versions of the old place may mean nothing there."""
@@ -180,7 +241,8 @@
         target = "/v1/servers?watch=1" + (f"&after={self._version}" if self._version else "")
         host = f"{self._where[0]}:{self._where[1]}"
         loop = asyncio.get_running_loop()
-        watch = self._watch = Watch(target, host, self._heard)
+        self._taken = Taken()  # a list that broke off leaves out nothing; what it said stands
+        watch = self._watch = Watch(target, host, self._take)
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: watch, *self._where)
@@ -188,32 +250,77 @@
         except (OSError, TimeoutError):
             pass
         finally:  # also where this was called off: what an old place still says is not heard
-            if watch.transport is not None:
-                watch.transport.abort()
-
-    def _heard(self, line: bytes) -> None:
-        found = listing(json.loads(line))
-        self._keep_leaving(found.event)
-        self._told(found)
-        self._version, self._lists = found.event.version, self._lists + 1
-        self.first.set()
-
-    def _keep_leaving(self, event: io.BackendsChanged) -> None:
-        """A list older than one before, as a new place may have that is behind, takes no leave back: only
-        another process under that name does."""
-        stale, self._newest = event.version < self._newest, max(self._newest, event.version)
-        named = {backend.id for backend in event.backends}
-        if event.kind is io.ListKind.WHOLE:
-            for name in self._up.keys() - named:
-                self._leaving[name] = self._up.pop(name)
-        for backend in event.backends:
-            name, started = backend.id, backend.started_ms
-            if stale and backend.state is io.BackendState.UP and started <= self._leaving.get(name, -1.0):
+            watch.stop()
+
+    def _take(self, reader: Reader) -> bool:
+        """Take in a slice of what came; whether there is more to do."""
+        taken, changes = self._taken, Listing(io.BackendsChanged(io.ListKind.CHANGES), {})
+        backends: list[io.Backend] = []
+        if taken.unnamed is None:
+            part = reader.read(SLICE)
+            if part is None:
+                return False
+            self._entries(part, backends, changes.addresses)
+            ends = part.ends
+        if taken.unnamed is not None:
+            names = list(islice(taken.unnamed, NAMES_SLICE))
+            backends += [self._gone(name) for name in names if name not in taken.named]
+            ends = len(names) < NAMES_SLICE
+        if backends or ends:
+            changes.event.version, changes.event.backends = taken.version or 0, tuple(backends)
+            self._told(changes)
+        if ends:
+            self._version, self._lists, self._taken = taken.version, self._lists + 1, Taken()
+            self.first.set()
+        return reader.any() or self._taken.unnamed is not None
+
+    def _entries(self, part: Part, backends: list[io.Backend], addresses: dict[str, Address]) -> None:
+        """What of a part is a change."""
+        taken = self._taken
+        if taken.version is None and (part.ends or part.generation is not None):
+            taken.version = int(part.generation or 0)
+            taken.stale = taken.version < self._newest
+            self._newest = max(self._newest, taken.version)
+        found = map(_entry, part.entries)
+        if taken.held and taken.stale is not None:
+            found, taken.held = [*taken.held, *found], []
+        for entry in found:
+            if entry is not None and self._changes(*entry):
+                backends.append(entry[0])
+                addresses[entry[0].id] = entry[1]
+        if part.ends and part.reset:
+            taken.unnamed = iter(list(self._known))
+
+    def _changes(self, backend: io.Backend, where: Address | None) -> bool:
+        """Whether an entry differs from what is known, which it then is. A list older than one before, as a
+        new place may have that is behind, takes no leave back: only another process under that name does."""
+        name, taken, known = backend.id, self._taken, self._known.get(backend.id)
+        taken.named.add(name)
+        if backend.state is io.BackendState.UP and backend.started_ms <= self._leaving.get(name, -1.0):
+            if taken.stale is None:
+                taken.held.append((backend, where))
+                return False
+            if taken.stale:
                 backend.state = io.BackendState.DRAINING
-            elif backend.state is io.BackendState.UP:
-                self._up[name] = started
-                self._leaving.pop(name, None)
-            else:
-                self._leaving[name] = max(started, self._up.pop(name, 0.0))
-        while len(self._leaving) > LEAVING_MOST:
+        if backend.state is io.BackendState.UP:
+            self._leaving.pop(name, None)
+        else:
+            self._leave(name, max(backend.started_ms, known[0].started_ms if known else 0.0))
+        if backend.state is io.BackendState.REMOVED:
+            return self._known.pop(name, None) is not None
+        if known == (backend, where):
+            return False
+        if known is None and len(self._known) >= KNOWN_MOST:
+            raise ValueError(f"over {KNOWN_MOST} backends")
+        self._known[name] = backend, where
+        return True
+
+    def _gone(self, name: str) -> io.Backend:
+        backend, _ = self._known.pop(name)
+        self._leave(name, backend.started_ms)
+        return replace(backend, state=io.BackendState.REMOVED)
+
+    def _leave(self, name: str, started: float) -> None:
+        self._leaving[name] = started
+        while len(self._leaving) > max(LEAVING_MOST, len(self._known)):
             del self._leaving[next(iter(self._leaving))]
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import math
 import time
@@ -28,6 +29,7 @@
 
 CLIENT_SHARE = 0.5  # of the descriptors, for clients' connections
 BACKEND_SHARE = 0.3  # and for backends'; the rest is for all else
+FREEZE_EACH = 512  # entries of lists: what is kept of them is in no cycle, and with 26,000 a look costs 30 ms
 
 
 class Clock:
@@ -68,12 +70,14 @@
         self._last = 0
         self._events: deque = deque()
         self._busy = False
+        self._entries = 0  # of lists, since what is kept of them was taken out of the collector's sight
         self.clients = Clients(self, settings, int(config.sockets * CLIENT_SHARE))
         self.backends = Backends(settings, config.keepalive_ms, int(config.sockets * BACKEND_SHARE))
         self.counter = Counter(config.counter, settings.counter_wait_ms, self.put) if config.counter else None
         self.discovery = Discovery(
             config.discovery, config.known.event.version, self.listed,
             settings.ask_every_ms / 1000.0 if settings.must_ask else 0.0)
+        self.discovery.remember(config.known)
         self.peers = Peers(config, self.put)
         self._do = {
             io.Send: self._send, io.Reject: self._reject, io.Fail: self._fail, io.Cancel: self._cancel,
@@ -237,10 +241,17 @@
             self.counter.move(counter)
 
     def listed(self, found: Listing) -> None:
+        if not found.event.backends and found.event.kind is io.ListKind.CHANGES:
+            return
         parted = self.backends.listed(found)
         self.put(found.event)
         for pool in parted:
             pool.close()
+        self._entries += len(found.event.backends)
+        if self._entries >= FREEZE_EACH:
+            self._entries = 0
+            gc.collect(1)
+            gc.freeze()
 
     def _count(self, action: io.Count) -> None:
         if self.counter is None:
--- /dev/null
+++ b/elderhub/lists.py
@@ -0,0 +1,142 @@
+"""Reads a stream of JSON objects that hold lists, in pieces: what comes is decoded entry by entry."""
+
+from __future__ import annotations
+
+import codecs
+import json
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+ENTRY_MOST = 1 << 16  # characters of an entry, and of all in an object that is none; ours have under 300
+ENTRIES_MOST = 1 << 17  # entries of one object: five times what is designed for
+TOKEN_MOST = 16  # characters: what is wrong farther from the end than a token is long is not merely cut short
+
+_space = re.compile(r"[ \t\r\n]*")
+_decode = json.JSONDecoder().scan_once  # the decoder in C, which also tells where a value ends
+
+
+@dataclass(slots=True)
+class Part:
+    """What was read at once of one object, and what is known by now of the whole of it."""
+
+    entries: list = field(default_factory=list)  # of `instances`, decoded
+    generation: object = None
+    reset: object = None
+    ends: bool = False  # the object
+
+
+class Reader:
+    """Of an object's keys, `generation`, `reset` and `instances` are kept, in whichever order. It may be
+    spread over lines and come in any pieces; between two objects there is white space alone. What is no such
+    object, or has no end, raises ValueError: what is kept undecoded is ENTRY_MOST and what was fed last."""
+
+    def __init__(self) -> None:
+        self._codec = codecs.getincrementaldecoder("utf-8")()
+        self._text, self._at = "", 0
+        self._part, self._most, self._others = Part(), 0, 0
+        self._steps = self._objects()
+        self.inside = False  # an object has begun that has not ended
+
+    def feed(self, data: bytes) -> None:
+        self._text, self._at = self._text[self._at:] + self._codec.decode(data), 0
+
+    def read(self, most: int) -> Part | None:
+        """The next entries of one object, so many at most; none where all else has yet to come."""
+        self._most = most
+        if not next(self._steps) and not self._part.entries:
+            return None
+        part = self._part
+        self._part = Part() if part.ends else Part([], part.generation, part.reset)
+        return part
+
+    def any(self) -> bool:
+        """Whether anything that was fed is unread. It may be cut short."""
+        return self._at < len(self._text)
+
+    # Each of these yields whether there is a part to be had; if not, it goes on once there is more to read.
+
+    def _objects(self) -> Iterator[bool]:
+        while True:
+            yield from self._one("{")
+            self.inside, self._others = True, 0
+            while (yield from self._next()) != "}":
+                key = yield from self._value()
+                yield from self._one(":")
+                if not isinstance(key, str):
+                    raise ValueError(f"{key!r} is no key")
+                if key == "instances" and (yield from self._next()) == "[":
+                    yield from self._entries()
+                else:
+                    value = yield from self._value()
+                    if key == "generation":
+                        self._part.generation = value
+                    elif key == "reset":
+                        self._part.reset = value
+                    elif key == "instances" and value is not None:
+                        raise ValueError("instances are no list")
+                yield from self._comma("}")
+            self._at = _space.match(self._text, self._at + 1).end()
+            self.inside, self._part.ends = False, True
+            yield True
+
+    def _entries(self) -> Iterator[bool]:
+        self._at += 1
+        count = 0
+        while (yield from self._next()) != "]":
+            entry = yield from self._value(other=False)
+            self._part.entries.append(entry)
+            count += 1
+            if count > ENTRIES_MOST:
+                raise ValueError(f"over {ENTRIES_MOST} entries")
+            yield from self._comma("]")
+            if len(self._part.entries) >= self._most:
+                yield True
+        self._at += 1
+
+    def _next(self) -> Iterator[bool]:
+        """Returns the next character that is no space."""
+        while True:
+            self._at = _space.match(self._text, self._at).end()
+            if self._at < len(self._text):
+                return self._text[self._at]
+            yield False
+
+    def _one(self, what: str) -> Iterator[bool]:
+        found = yield from self._next()
+        if found != what:
+            raise ValueError(f"{found!r} in place of {what!r}")
+        self._at += 1
+
+    def _comma(self, end: str) -> Iterator[bool]:
+        if (yield from self._next()) != end:
+            yield from self._one(",")
+
+    def _value(self, other: bool = True) -> Iterator[bool]:
+        """Returns the next value. A number is whole only once something follows, and so all are taken."""
+        yield from self._next()
+        while True:
+            try:
+                value, end = _decode(self._text, self._at)
+            except StopIteration as error:
+                self._cut_short(error.value)
+            except json.JSONDecodeError as error:
+                self._cut_short(len(self._text) if error.msg.startswith("Unterminated string") else error.pos)
+            except RecursionError:
+                raise ValueError("too deep") from None
+            else:
+                if end < len(self._text):
+                    break
+            if len(self._text) - self._at > ENTRY_MOST:
+                raise ValueError("a value without an end")
+            yield False
+        self._others += (end - self._at) * other
+        if self._others > ENTRY_MOST:
+            raise ValueError("an object without an end")
+        self._at = end
+        return value
+
+    def _cut_short(self, at: int) -> None:
+        """Raises ValueError where more text could not mend what is wrong there."""
+        if at < len(self._text.rstrip()) - TOKEN_MOST:
+            raise ValueError(f"no value at {self._text[at:at + 2 * TOKEN_MOST]!r}")
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -502,3 +502,47 @@
             assert (await w.call(request())).body == (b"new" if moved else b"old")
             new.server.close()
     run(scene)
+
+
+def test_only_backends_with_connections_are_kept_swept_and_counted():
+    # With 26,000 in the list, a sweep each second and a look for room for each connection cost nothing.
+    async def scene():
+        fleet = [await Backend().start() for _ in range(3)]
+        sender = Sender(*(fleet[i % 3].port for i in range(500)))
+        assert not sender.backends._pools and sender.backends.any_up()
+        for number in (3, 400):
+            sender.send(number)
+        await until(lambda: len(sender.ended) == 2)
+        assert sender.outcomes() == [io.Outcome.OK] * 2 and set(sender.backends._pools) == {"b3", "b400"}
+        sender.backends.close_idle("b3")
+        await until(lambda: not sender.backends._pools["b3"].all)
+        sender.backends.start()
+        assert set(sender.backends._pools) == {"b400"}
+        sender.send(3)
+        await until(lambda: len(sender.ended) == 3)
+        assert sender.outcomes()[2] is io.Outcome.OK
+        for backend in fleet:
+            backend.server.close()
+    run(scene)
+
+
+def test_a_backend_that_moved_or_is_another_process_gets_a_new_pool_and_one_that_did_not_keeps_its_own():
+    async def scene():
+        first, second = [await Backend().start() for _ in range(2)]
+        sender = Sender(first.port)
+
+        async def pool(port, started_ms=0.0):
+            entry = io.Backend("b0", started_ms=started_ms)
+            where = {"b0": ("127.0.0.1", port)}
+            sender.backends.listed(Listing(io.BackendsChanged(io.ListKind.CHANGES, 2, (entry,)), where))
+            exchange = sender.send(0)
+            await until(lambda: exchange.over)
+            return sender.backends._pools["b0"]
+
+        pools = [await pool(first.port), await pool(first.port), await pool(first.port, 5.0),
+                 await pool(second.port, 5.0)]
+        assert pools[0] is pools[1] and len(set(pools)) == 3 and set(pools[1:3]) <= sender.backends._parting
+        assert (len(first.seen), len(second.seen)) == (3, 1)
+        first.server.close()
+        second.server.close()
+    run(scene)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,30 +1,67 @@
 """Discovery: the remembered list first, then a watch that is resumed."""
 
 import asyncio
+import gc
 import json
 
 import pytest
 import virtual
+from test_config import loaded
+from test_config import told as configured
 from world import Backend, Discovery, World, ok, request, run, until
 
 from cobaltline import interface as io
 from elderhub import discovery as watching
+from elderhub import host
+from elderhub.lists import Reader
 
 
 def entry(name, port=1, lifecycle="Ready", **more):
     return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "lifecycle": lifecycle, **more}
 
 
+ODD = {"generation": 7, "reset": True, "instances": [
+    entry("a", zone="z", machineType="m", cell=3, weight=1.5, startedAtMs=99), {"instanceId": "b"},
+    entry("c", "none"), entry("d", lifecycle="Gone"), entry("e", lifecycle="Odd"), 7]}
+
+
 def test_a_list_is_read_and_what_is_malformed_in_it_passed_over():
-    found = watching.listing({"generation": 7, "reset": True, "instances": [
-        entry("a", zone="z", machineType="m", cell=3, weight=1.5, startedAtMs=99), {"instanceId": "b"},
-        entry("c", "none"), entry("d", lifecycle="Gone"), entry("e", lifecycle="Odd"), 7]})
-    assert found.event == io.BackendsChanged(io.ListKind.WHOLE, 7, (
+    found = watching.listing(ODD)
+    assert found.event == io.BackendsChanged(io.ListKind.REMEMBERED, 7, (
         io.Backend("a", "z", "m", 3, io.BackendState.UP, 1.5, 99.0),
         io.Backend("d", state=io.BackendState.REMOVED)))
     assert found.addresses == {"a": ("127.0.0.1", 1)}
 
 
+def test_what_is_malformed_in_a_list_that_comes_over_a_watch_is_passed_over():
+    async def scene():
+        first = {"generation": 6, "instances": [entry("d")]}
+        told = heard(first, ODD)
+        assert [found.event for found in told] == [
+            io.BackendsChanged(io.ListKind.CHANGES, 6, (io.Backend("d"),)),
+            io.BackendsChanged(io.ListKind.CHANGES, 7, (
+                io.Backend("a", "z", "m", 3, io.BackendState.UP, 1.5, 99.0),
+                io.Backend("d", state=io.BackendState.REMOVED)))]
+        assert told[1].addresses["a"] == ("127.0.0.1", 1)
+    run(scene)
+
+
+def take(discovery, *lists):
+    """All work on lists that came over its watch, one after the other."""
+    reader = Reader()
+    for one in lists:
+        reader.feed(json.dumps(one).encode() + b"\n")
+        while discovery._take(reader):
+            pass
+
+
+def heard(*lists, version=0):
+    """What is told of lists."""
+    told = []
+    take(watching.Discovery(("127.0.0.1", 1), version, told.append), *lists)
+    return told
+
+
 class Watcher:
     def __init__(self, where, version=0):
         self.told = []
@@ -238,19 +275,19 @@
 
 
 def states(*events):
-    """What the gateway was told, list by list: the state of each backend that is named."""
+    """What the gateway has been told of each backend by the end of each list; a list may tell it nothing."""
     async def scene():
-        told = []
+        told, now = [], {}
         discovery = watching.Discovery(("127.0.0.1", 1), 5, told.append)
         for version, whole, *entries in events:
-            line = {"generation": version, "reset": whole, "instances": entries}
-            discovery._heard(json.dumps(line).encode())
-        told = [{backend.id: backend.state.value for backend in found.event.backends} for found in told]
-        seen.append(told)
+            take(discovery, {"generation": version, "reset": whole, "instances": entries})
+            now.update((each.id, each.state.value) for found in told for each in found.event.backends)
+            told.clear()
+            seen.append(dict(now))
 
     seen = []
     run(scene)
-    return seen[0]
+    return seen
 
 
 def test_an_older_list_takes_no_leave_back():
@@ -261,6 +298,7 @@
     shorter = (9, True, entry("b"))
     assert states(first, leaving, older)[2] == {"a": "draining", "b": "up", "c": "draining", "d": "up"}
     assert states(first, shorter, older)[2] == {"a": "draining", "b": "up", "c": "draining", "d": "draining"}
+    assert states(first, shorter)[1] == {"a": "removed", "b": "up", "c": "removed", "d": "removed"}
 
 
 def test_a_newer_list_or_another_process_counts_again():
@@ -275,8 +313,265 @@
     async def scene():
         discovery = watching.Discovery(("127.0.0.1", 1), 0, lambda found: None)
         for i in range(9):
-            line = {"generation": i + 1, "instances": [entry(f"s{i}", lifecycle="Gone")]}
-            discovery._heard(json.dumps(line).encode())
+            take(discovery, {"generation": i + 1, "instances": [entry(f"s{i}", lifecycle="Gone")]})
         assert list(discovery._leaving) == ["s6", "s7", "s8"]
 
     run(scene)
+
+
+# Lists of any length: taken in slices, and only what they change goes on.
+
+def many(count, **more):
+    return [entry(f"s{i}", zone=f"z{i % 4}", **more) for i in range(count)]
+
+
+def test_a_whole_list_of_26000_over_a_real_socket_is_taken_and_served_from():
+    async def scene():
+        old, new = Backend(ok(b"old")), Backend(ok(b"new"))
+        async with World({"b1": old}) as w:
+            await new.start()
+            many = (w.discovery.entry(f"s-{i:08x}", new.port, zone=f"z{i % 16}") for i in range(26000))
+            w.discovery.tell(*many, reset=True)
+            while (await w.call(request())).body != b"new":
+                await asyncio.sleep(0.02)
+            w.discovery.tell(w.discovery.entry("b1", old.port), reset=True)
+            row = 0  # the others leave slice by slice: one answer from "b1" does not show the end of it
+            while row < 20:
+                row = row + 1 if (await w.call(request())).body == b"old" else 0
+            assert len(w.discovery.targets) == 1
+            new.server.close()
+    run(scene)
+
+
+def test_between_two_slices_of_a_list_the_loop_sees_to_all_else():
+    async def scene():
+        agent, turn, told = await Discovery().start(), [0], []
+
+        def tick():
+            turn[0] += 1
+            asyncio.get_running_loop().call_soon(tick)
+
+        agent.entries = {each["instanceId"]: each for each in many(1000)}
+        watch = watching.Discovery(
+            ("127.0.0.1", agent.port), 0, lambda found: told.append((turn[0], len(found.event.backends))))
+        tick()
+        watch.start()
+        await watch.first.wait()
+        assert max(count for _, count in told) <= watching.SLICE and sum(count for _, count in told) == 1000
+        assert len({when for when, _ in told}) == len(told)
+        del told[:]
+        agent.tell(reset=True)
+        await until(lambda: watch._version == 2)
+        assert sum(count for _, count in told) == 1000
+        assert max(count for _, count in told) <= watching.NAMES_SLICE
+        assert len({when for when, _ in told}) == len(told)
+        watch.stop()
+    run(scene)
+
+
+def test_the_same_whole_list_again_tells_nothing_and_an_indented_one_is_the_same():
+    whole = {"generation": 1, "reset": True, "instances": many(300)}
+    told = []
+
+    async def scene():
+        discovery = watching.Discovery(("127.0.0.1", 1), 0, told.append)
+        take(discovery, whole)
+        assert sum(len(found.event.backends) for found in told) == 300
+        del told[:]
+        reader = Reader()
+        reader.feed(json.dumps({**whole, "generation": 2}, indent=2).encode())
+        while discovery._take(reader):
+            pass
+        assert [found.event for found in told] == [io.BackendsChanged(io.ListKind.CHANGES, 2)]
+        take(discovery, {**whole, "generation": 3, "instances": [*many(300)[:-1], entry("s299", weight=2.0)]})
+        assert [each.id for found in told[1:] for each in found.event.backends] == ["s299"]
+
+    run(scene)
+
+
+def test_a_list_that_tells_nothing_does_not_reach_the_module(tmp_path):
+    async def scene():
+        one = host.Host(loaded(tmp_path, configured(known={"generation": 1, "instances": many(3)})))
+        events = []
+        one._module.handle = lambda now, event: events.append(event) or []
+        take(one.discovery, {"generation": 2, "reset": True, "instances": many(3)})
+        assert events == [] and one.discovery._version == 2
+        take(one.discovery, {"generation": 3, "reset": True, "instances": many(2)})
+        assert [(each.id, each.state) for event in events for each in event.backends] == [
+            ("s2", io.BackendState.REMOVED)]
+    run(scene)
+
+
+def test_what_a_long_list_brings_is_taken_out_of_the_sight_of_the_collector_and_a_change_is_not(tmp_path):
+    # The collector's looks at what 26,000 backends leave behind were steps of 30 ms.
+    async def scene():
+        one = host.Host(loaded(tmp_path, configured()))
+        frozen = gc.get_freeze_count()
+        take(one.discovery, {"generation": 2, "instances": many(host.FREEZE_EACH - 1)})
+        assert gc.get_freeze_count() == frozen
+        take(one.discovery, {"generation": 3, "instances": [entry("one more")]})
+        assert gc.get_freeze_count() >= frozen + 3 * host.FREEZE_EACH
+    try:
+        run(scene)
+    finally:
+        gc.unfreeze()
+
+
+def test_a_whole_list_that_broke_off_leaves_nothing_out_and_what_it_said_stands():
+    async def scene():
+        told, tries = {}, []
+        later = [entry("s1", lifecycle="Terminating"), *(entry(f"n{i}") for i in range(100)), entry("s2")]
+        first, second, broken = (
+            json.dumps({"generation": generation, "reset": True, "instances": entries}).encode()
+            for generation, entries in ((7, many(100)), (8, later), (8, [entry("s5"), *later])))
+        lines = [first, broken[:-30], second]
+
+        async def agent(reader, writer):
+            tries.append((await reader.readuntil(b"\r\n\r\n")).split()[1])
+            line = lines[min(len(tries), len(lines)) - 1]
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"%x\r\n%b\r\n" % (len(line), line))
+            if len(tries) > 1:
+                seen.append(dict(told))
+            await writer.drain()
+            writer.close()
+
+        seen, server = [], await asyncio.start_server(agent, "127.0.0.1", 0)
+        watch = watching.Discovery(server.sockets[0].getsockname(), 0, lambda found: told.update(
+            (each.id, each.state.value) for each in found.event.backends))
+        watch.start()
+        await until(lambda: len(tries) == 4)
+        everywhere = {f"s{i}": "up" for i in range(100)}
+        assert seen[0] == everywhere
+        assert seen[1] == {**everywhere, "s1": "draining", **{f"n{i}": "up" for i in range(100)}}
+        assert {name for name, state in seen[2].items() if state == "up"} == {
+            "s2", *(f"n{i}" for i in range(100))}
+        assert [target.rpartition(b"=")[2] for target in tries] == [b"1", b"7", b"7", b"8"]
+        watch.stop()
+        server.close()
+    run(scene)
+
+
+def test_an_older_list_takes_no_leave_back_though_it_says_its_generation_last():
+    async def scene():
+        told, now = [], {}
+        discovery = watching.Discovery(("127.0.0.1", 1), 0, told.append)
+        take(discovery, {"generation": 7, "instances": [entry("a", lifecycle="Terminating"), entry("b")]})
+        more = many(2 * watching.SLICE)  # "a" is read, and has to be judged, long before the generation
+        take(discovery, {"instances": [entry("a"), entry("b"), *more], "reset": True, "generation": 6})
+        now.update((each.id, each.state.value) for found in told for each in found.event.backends)
+        assert (now["a"], now["b"]) == ("draining", "up")
+        take(discovery, {"instances": [entry("a"), entry("c"), *more], "reset": True, "generation": 8})
+        now.update((each.id, each.state.value) for found in told for each in found.event.backends)
+        assert (now["a"], now["b"], now["c"]) == ("up", "removed", "up")
+    run(scene)
+
+
+def test_of_a_long_list_as_many_are_kept_in_mind_as_leaving_as_are_known():
+    count = 2 * watching.LEAVING_MOST
+
+    async def scene():
+        discovery = watching.Discovery(("127.0.0.1", 1), 0, lambda found: None)
+        take(discovery, {"generation": 1, "reset": True, "instances": many(count)})
+        take(discovery, {"generation": 2, "instances": many(count, lifecycle="Terminating")})
+        assert len(discovery._leaving) == count
+    run(scene)
+
+
+def test_backends_that_lists_without_an_end_name_are_not_all_kept(monkeypatch):
+    monkeypatch.setattr(watching, "KNOWN_MOST", 100)
+
+    async def scene():
+        discovery = watching.Discovery(("127.0.0.1", 1), 0, lambda found: None)
+        with pytest.raises(ValueError):
+            take(discovery, {"generation": 1, "instances": many(101)})
+        assert len(discovery._known) == 100
+    run(scene)
+
+
+class Slow(Agent):
+    """Tells one long list, in the form that a scene gives it."""
+
+    def __init__(self, pieces, every_s):
+        super().__init__()
+        self.pieces, self.every_s, self.line = pieces, every_s, b""
+
+    async def connect(self, watch, host, port):
+        made = await super().connect(watch, host, port)
+        for i, piece in enumerate(self.pieces):
+            data = b"%x\r\n%b\r\n" % (len(piece), piece)
+            self.loop.call_later(0.1 + i * self.every_s, self.bring, watch, data)
+        return made
+
+    def bring(self, watch, data):
+        if not watch.transport.is_closing():
+            watch.data_received(data)
+
+
+def test_a_watch_is_not_silent_while_a_list_is_taken_in_and_reads_no_more_meanwhile():
+    line = json.dumps({"generation": 2, "reset": True, "instances": many(80)}).encode()
+    agent, told, reading = Slow([line], 1.0), [], []
+
+    async def scene(loop):
+        def hear(found):
+            told.append(found.event.version)
+            reading.append(discovery._watch.transport.reading)
+            loop.now += 2.0  # the work takes long, and the agent's heartbeats wait in the socket
+
+        discovery = watching.Discovery(("agent", 1), 0, hear)
+        discovery.start()
+        while 2 not in told or len(told) < 10:
+            await asyncio.sleep(0.5)
+        assert len(agent.opened) == 1 and reading[1:] == [False] * (len(reading) - 1)
+        await asyncio.sleep(0)
+        assert discovery._watch.transport.reading
+        discovery.stop()
+
+    virtual.run(scene, agent.connect)
+
+
+def test_white_space_in_the_middle_of_a_list_is_no_sign_of_life():
+    agent = Slow([b'{"generation":2,"instances":[', *[b"\n"] * 20], 1.0)
+
+    async def scene(loop):
+        discovery = watching.Discovery(("agent", 1), 0, lambda found: None)
+        discovery.start()
+        await asyncio.sleep(5.0)
+        assert len(agent.opened) == 2
+        discovery.stop()
+
+    virtual.run(scene, agent.connect)
+
+
+def test_of_a_watch_that_was_called_off_no_further_slice_is_heard():
+    line = json.dumps({"generation": 2, "reset": True, "instances": many(100)}).encode()
+    agent, told = Slow([line], 1.0), []
+
+    async def scene(loop):
+        discovery = watching.Discovery(("agent", 1), 0, lambda found: told.append(discovery.stop()))
+        discovery.start()
+        await asyncio.sleep(5.0)
+        assert len(told) == 1 and discovery._version == 0
+
+    virtual.run(scene, agent.connect)
+
+
+def test_what_was_read_before_a_connection_ended_is_all_taken_in():
+    line = json.dumps({"generation": 2, "reset": True, "instances": many(100)}).encode()
+
+    class Ends(Slow):
+        def bring(self, watch, data):
+            super().bring(watch, data)
+            watch.connection_lost(None)
+
+    agent, told = Ends([line], 1.0), []
+
+    async def scene(loop):
+        discovery = watching.Discovery(("agent", 1), 0, told.append)
+        discovery.start()
+        await asyncio.sleep(0.3)
+        assert sum(len(found.event.backends) for found in told) == 100
+        assert len(agent.opened) == 2 and b"&after=2 " in agent.watch.transport.written
+        discovery.stop()
+
+    virtual.run(scene, agent.connect)
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -39,10 +39,17 @@
     def __init__(self, loop, protocol):
         super().__init__()
         self._loop, self._protocol, self._over, self.written = loop, protocol, False, b""
+        self.reading = True
 
     def write(self, data):
         self.written += data
 
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
     def abort(self):
         if not self._over:
             self._over = True
