Ask discovery again in time for what it had meanwhile, whatever became of the last call

Seen: where lists are asked for, a change that discovery had at 7.79 s was heard at 13.49 s (asked every 10 s, the watch fallen silent and calls lost until then), and later still after refused calls.

Cause: the pause before the next call doubled up to the time between calls that the settings name (10 s, 60 s), and an unanswered call was waited for 5 s with up to 2.5 s of pause after it. A change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call.

Now the next call is made 4.5 s after the last word of a watch (or after the call, where there was none) at the latest, which leaves 1.5 s for its turn; an unanswered one is given up after 3.5 s. It is still drawn at random within what is left, and still more seldom after the first failure. Where lists are pushed nothing changes: there the sum was 4.1 s at most. A move forgets the failures of the old place. A service whose line is longer than 3.5 s gets calls again from those that gave up; that is read and not measured.

The test of the pauses wanted up to 10 s; it now wants the spread within 2.5 and 4.5 s, also for 60 s. tests/test_discovery.py, without the change: 13 failed, 37 passed (all ten paths where lists are asked for; the five where they are pushed pass); with it 50 passed.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -20,12 +20,13 @@
 
 SILENT_S = 3.0  # a watch says something every 2 s; what a silent one misses counts as told after 6 s
 ANSWER_S = 1.0  # a new watch says something at once, as the agent is near; a silent agent is asked again
-WAIT_S = 5.0  # but where calls wait their turn at a service that all gateways share, after this
+WAIT_S = 3.5  # but where calls wait their turn at a service that all gateways share, after this
 LOOK_S = 0.001  # timers go before what has come meanwhile: so long for that to be read
 CONNECT_S = 1.0  # the agent is near: a connection that is not up by then never comes up
 BACKOFF_S = 0.1  # wait before a new try: what the agent has counts as told, so it is soon asked again
 CALM_SHARE = 0.25  # of the time between calls that the settings name: the first wait where calls are a load
-CALM_MOST_S = 2.5  # and at most this, as what a silent watch misses counts as told 6 s after it fell silent
+CALM_MOST_S = 2.5  # and at most this
+NEXT_S = 4.5  # from a watch's last word, or a call without one, to the next call: a change counts after 6 s
 LEAVING_MOST = 4096  # backends that are kept in mind as leaving
 LINE_MOST = 1 << 22  # bytes of one line; more is no list of ours
 MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
@@ -157,23 +158,25 @@
         """Watch there, at once, and from the whole list: versions of the old place may mean nothing there."""
         if where != self._where:
             self.stop()
-            self._where, self._version = where, 0
+            self._where, self._version, self._wait = where, 0, 0.0
             self.start()
 
     async def _run(self) -> None:
         while True:
             before = self._lists
             await self._watched()
-            await asyncio.sleep(self._pause(self._lists > before))
+            silent_s = asyncio.get_running_loop().time() - self._watch.heard_at
+            await asyncio.sleep(self._pause(self._lists > before, silent_s))
 
-    def _pause(self, heard: bool) -> float:
-        """The wait before the next watch; `heard`: the last one brought a list. Where all gateways share the
-        service it is drawn at random: many watches end at one moment, and would all be back at one."""
+    def _pause(self, heard: bool, silent_s: float) -> float:
+        """The wait before the next watch, in s; `heard`: the last one brought a list; `silent_s`: since its
+        last word, or its call. Drawn at random where all gateways share the service: many watches end at
+        one moment, and would all be back at one."""
         if self._ask_every_s <= 0.0:
             return BACKOFF_S
         least = min(CALM_MOST_S, self._ask_every_s * CALM_SHARE)
         self._wait = least if heard else min(self._ask_every_s, self._wait * 2 or least)
-        return self._wait * random.random()
+        return min(self._wait, max(0.0, NEXT_S - silent_s)) * random.random()
 
     async def _watched(self) -> None:
         """One watch from its start to its end."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -140,20 +140,32 @@
 
 
 def paused(**options):
-    """The first pauses of a watch that is turned away again and again, after one that brought a list."""
+    """The first pauses of a watch that is turned away at once again and again, after one with a list."""
     discovery = watching.Discovery(("127.0.0.1", 1), 0, lambda found: None, **options)
-    return [discovery._pause(heard) for heard in (True, False, False, False, False)]
+    return [discovery._pause(heard, 0.0) for heard in (True, False, False, False, False)]
 
 
-def test_many_gateways_that_lose_a_shared_discovery_come_back_apart_and_ever_more_seldom():
+@pytest.mark.parametrize("ask_every_s", [10.0, 60.0])
+def test_many_gateways_that_lose_a_shared_discovery_come_back_apart_and_ever_more_seldom(ask_every_s):
+    # As seldom as a change allows that counts as told 6 s after discovery had it.
     async def scene():
-        fleet = [paused(ask_every_s=10.0) for _ in range(400)]
-        for pauses, most in zip(zip(*fleet, strict=True), (2.5, 5.0, 10.0, 10.0, 10.0), strict=True):
+        fleet = [paused(ask_every_s=ask_every_s) for _ in range(400)]
+        for pauses, most in zip(zip(*fleet, strict=True), (2.5, 4.5, 4.5, 4.5, 4.5), strict=True):
             tenths = [int(10 * pause / most) for pause in pauses]
             assert max(pauses) <= most and max(tenths.count(i) for i in range(10)) < 100
     run(scene)
 
 
+def test_watches_that_fell_silent_together_come_back_apart():
+    async def scene():
+        fleet = [watching.Discovery(("127.0.0.1", 1), 0, lambda found: None, 10.0) for _ in range(400)]
+        for silent_s in (watching.SILENT_S, watching.WAIT_S):
+            most = watching.NEXT_S - silent_s
+            tenths = [int(10 * discovery._pause(False, silent_s) / most) for discovery in fleet]
+            assert max(tenths) < 10 and max(tenths.count(i) for i in range(10)) < 100
+    run(scene)
+
+
 def test_an_agent_of_its_own_is_asked_again_soon():
     async def scene():
         assert paused() == [0.1, 0.1, 0.1, 0.1, 0.1]
@@ -166,13 +178,17 @@
 
 
 class Agent:
-    """Answers a new watch with its list unless it is mute; heartbeats are a matter of the scene."""
+    """Answers a new watch with its list unless it is mute; heartbeats are up to the scene. `refuse`, where
+    set, comes before a connection."""
 
     def __init__(self):
         self.opened, self.mute, self.line = [], False, b'{"generation":1,"reset":true,"instances":[]}'
+        self.refuse = None
 
     async def connect(self, watch, host, port):
         self.loop = asyncio.get_running_loop()
+        if self.refuse is not None:
+            await self.refuse()
         transport = virtual.Transport(self.loop, watch)
         watch.connection_made(transport)
         self.opened.append(self.loop.now)
@@ -216,6 +232,67 @@
     assert opened[0] == 0.0 and silent + 2.0 < opened[1] < silent + TOLD_S
 
 
+async def refused():
+    raise ConnectionRefusedError
+
+
+async def never_comes_up():
+    await asyncio.sleep(1e6)
+
+
+def out_of_reach(how, since, until_s):
+    """A scene in which discovery can't be reached for a while, and learns of a change at its end. Calls from
+    before the end are lost for good."""
+    def play(loop, agent):
+        def down():
+            if how == "falls silent":
+                agent.mute = True
+            elif how == "fails at once":
+                agent.mute = True
+                agent.watch.transport.abort()
+                agent.refuse = fail
+            elif how == "ends unheard":
+                agent.watch.transport.abort()
+                agent.mute = True
+            else:
+                agent.watch.transport.abort()
+                agent.refuse = refused if how == "refused" else never_comes_up
+
+        async def fail():  # it comes up, and is turned away
+            answer = b"HTTP/1.1 503 Odd\r\nContent-Length: 0\r\n\r\n"
+            loop.call_soon(lambda: agent.watch.data_received(answer))
+
+        def up():
+            agent.mute, agent.refuse = False, None
+            agent.line = b'{"generation":2,"reset":true,"instances":[]}'
+
+        def beat():
+            if loop.now < since and hasattr(agent, "watch"):
+                agent.say(agent.watch)
+            loop.call_later(1.0, beat)
+
+        loop.call_soon(beat)
+        loop.call_at(since, down)
+        loop.call_at(until_s, up)
+    return play
+
+
+MARGIN_S = 0.5  # left for the turn of the call and the way of the list
+
+
+@pytest.mark.parametrize("ask_every_s", [0.0, 10.0, 60.0])
+@pytest.mark.parametrize(
+    "how", ["falls silent", "fails at once", "ends unheard", "refused", "never comes up"])
+def test_a_change_is_heard_before_it_counts_as_told_whatever_became_of_the_last_call(
+        how, ask_every_s, monkeypatch):
+    monkeypatch.setattr(watching.random, "random", lambda: 0.999)  # the longest pauses
+    for k in range(40):
+        back = 5.2 + 0.37 * k
+        _, told = watched(out_of_reach(how, 5.0, back), ask_every_s)
+        heard = next((at for at, version in told if version == 2), 1e9)
+        assert heard - back <= TOLD_S - MARGIN_S, (back, told)
+
+
 def test_a_new_watch_that_is_silent_too_is_soon_given_up():
     def play(loop, agent):
         agent.mute = True
