Subscribe again 2.5 s after a failed call for lists at the latest

Cause: the module waited a quarter of the time between calls that the settings name after a failed call, 15 s where that is 60 s. A change counts as told 6 s after discovery had it and could be reached. The quarter of the usual 10 s is 2.5 s, so nothing changes there.

tests/test_rules.py, without the change: 1 failed (60 s), 34 passed; with it 35 passed, test_limits.py too.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -50,6 +50,7 @@
 FLEET_STEP = 0.1  # how far the limit on own attempts out moves at most in one mean latency
 STALL_MS = 100.0  # an alarm later than this shows that the gateway itself stood still
 IDLE_MS = 10000.0  # customers unseen this long are dropped
+RESUBSCRIBE_MS = 2500.0  # after a failed call for lists, at most: a change counts as told 6 s after its time
 
 
 class Bucket:
@@ -548,7 +549,7 @@
     def on_backends(self, now: float, e: io.BackendsChanged) -> None:
         if e.kind is io.ListKind.FAILED:
             if self.s.must_ask:
-                self.at(now + self.s.ask_every_ms / 4, self.subscribe, None)
+                self.at(now + min(RESUBSCRIBE_MS, self.s.ask_every_ms / 4), self.subscribe, None)
             return
         named = {entry.id for entry in e.backends}
         if e.kind is not io.ListKind.CHANGES:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -276,3 +276,15 @@
     p.advance(p.now + 30000.0)
     assert not p.g.servers and not [key for key in p.g.notes if key[1]]
     assert not p.g.flights and not p.g.requests and len(p.g.alarms) < 5
+
+
+@pytest.mark.parametrize("ask_every_ms", [4000.0, 10000.0, 60000.0])
+def test_lists_are_asked_for_again_in_time_after_each_failed_call(ask_every_ms):
+    # A change counts as told 6 s after discovery had it and could be reached.
+    p = Play(must_ask=True, ask_every_ms=ask_every_ms)
+    for _ in range(5):
+        p.put(io.BackendsChanged(io.ListKind.FAILED, 0, ()))
+        failed = p.now
+        while not of(p.advance(p.now + 100.0), io.Subscribe):
+            assert p.now - failed < 3000.0
+        assert p.now - failed >= 900.0
