Ask before each send whether its client is there; take a half-close for its leave

Seen: with the loop standing still for 0.15 s in which a client closed its connection, its request was sent on for the first time, sent when its connection came up, and tried again after a 500, 0.15 s after the close. And where an answer was unread by a client that then ended its side, the request behind it was tried again after a 500.

Cause: events are read in the order in which they came, and timers go before them, so the end of a connection is read after what leads to a send (host._send, Pool.opened). And eof_received returned False without a word to the host: closing waits until all is written, and connection_lost came only then; below the high-water mark of the buffer, never, and the descriptor with it.

Now host and pool look at the client's socket (POLLRDHUP) before a send, and eof_received ends what is held and queued. A closing connection whose answer is not read is cut off after STUCK_S as others are.

tests/test_host.py, without the change: the four new ones fail (3 of a standstill, 1 of an unread answer); with it they pass. Excluded by test, passes before too: a client that leaves while its request waits in the module's gate or ready.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -30,7 +30,7 @@
 
     __slots__ = (
         "backend", "head", "body", "until", "done", "connection", "sent", "over", "outcome",
-        "headers", "answer", "report", "timer", "request", "number", "started")
+        "headers", "answer", "report", "timer", "request", "number", "started", "wanted")
 
     def __init__(
             self, backend: str, head: bytes, body: bytes, until: float, done: Callable[[Exchange], None]):
@@ -40,6 +40,7 @@
         self.over, self.outcome = False, io.Outcome.TIMEOUT
         self.headers, self.answer, self.report = b"", b"", None
         self.timer: asyncio.TimerHandle | None = None
+        self.wanted: Callable[[], bool] | None = None  # where it is not, its request withdraws it
 
     def end(self, outcome: io.Outcome) -> None:
         if self.over:
@@ -279,7 +280,7 @@
         self.all.add(connection)
         if self.closed:
             connection.abort()
-        elif exchange.over:
+        elif exchange.over or exchange.wanted is not None and not exchange.wanted():
             self.idle(connection)
             connection.idle_since -= REST_S  # it has brought no answer yet that another could follow
         else:
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -81,13 +81,26 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._clients.closed(self)
-        self._deaf, self._parser = True, None  # client and parser hold each other
+        self._leave()
+        self._parser = None  # client and parser hold each other
+
+    def eof_received(self) -> bool:
+        """A client that ends its side has gone away, also where an answer that it does not read keeps its
+        connection open for long."""
+        self.since = self._clients.loop.time()
+        self._leave()
+        return False
+
+    def _leave(self) -> None:
+        self._deaf, self._current = True, None
         self._queue.clear()
         if self.held is not None:
             self._clients.host.left(self)
 
-    def eof_received(self) -> bool:
-        return False  # a client that ends its side has gone away
+    def gone(self) -> bool:
+        """Whether it has left, also where the loop has not read that yet: what came before, and timers, go
+        first, and we may have stood still."""
+        return self.transport.is_closing() or self._polled(select.POLLRDHUP)
 
     # Reading.
 
@@ -124,7 +137,8 @@
     def look(self, now: float) -> None:
         """Nothing that is owed to us is waited for for ever."""
         age = now - self.since
-        if self.ended and age >= LINGER_S or self._full and age >= STUCK_S:
+        stuck = self._full or self.transport.is_closing()
+        if self.ended and age >= LINGER_S or stuck and age >= STUCK_S:
             self.transport.abort()
         elif not self.spoke and age >= BOUND_S:
             self.transport.close()
@@ -209,8 +223,11 @@
 
     def unread(self) -> bool:
         """Whether something has come that the loop has not read yet: closing now would reset it."""
+        return self._polled(select.POLLIN)
+
+    def _polled(self, events: int) -> bool:
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        poll.register(self.transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
     def answer(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import math
 import time
@@ -142,6 +143,12 @@
         if self._close(held):
             self.put(io.ClientLeft(held.id))
 
+    def _wanted(self, held: Held) -> bool:
+        """Whether the request is still open and its client there: asked before each send."""
+        if not held.done and held.client.gone():
+            self.left(held.client)
+        return not held.done
+
     def _close(self, held: Held) -> bool:
         """Whether the request was still open. It is not from here on."""
         if held.done:
@@ -194,7 +201,7 @@
 
     def _send(self, action: io.Send) -> None:
         held = self._requests.get(action.request)
-        if held is None or held.done:  # it ended while this was being decided
+        if held is None or not self._wanted(held):  # it ended while this was being decided
             number = held.sends if held else 0
             if held:
                 held.sends += 1
@@ -207,6 +214,7 @@
         until_s = self._loop.time() + (until - now) / 1000.0
         exchange = Exchange(action.backend, held.head, held.message.body, until_s, self._ended)
         exchange.request, exchange.number, exchange.started = held, held.sends, now
+        exchange.wanted = functools.partial(self._wanted, held)
         held.out[held.sends] = exchange
         held.sends += 1
         self.backends.send(exchange)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import os
+import socket
 import time
 
 import pytest
@@ -21,11 +23,12 @@
     request,
     run,
     settings,
+    status,
     until,
 )
 
 from cobaltline import interface as io
-from elderhub import host, wire
+from elderhub import backends, clients, host, wire
 
 HOOKED = """
 from cobaltline import interface as io
@@ -180,14 +183,16 @@
 
 
 class Inside:
-    """A host in this process, with one backend, and a client's connection to it."""
+    """A host in this process, with a backend or more, and clients' connections to it."""
 
-    def __init__(self, tmp_path, cancel):
-        self._path, self._cancel = tmp_path, cancel
+    def __init__(self, tmp_path, cancel=True, more=0):
+        self._path, self._cancel, self._more = tmp_path, cancel, more
 
     async def __aenter__(self):
-        self.backend, self.counter = await Backend().start(), await Counter().start()
-        known = {"generation": 1, "instances": [Discovery().entry("b1", self.backend.port)]}
+        self.backends = [await Backend().start() for _ in range(1 + self._more)]
+        self.backend, self.counter = self.backends[0], await Counter().start()
+        known = {"generation": 1, "instances": [
+            Discovery().entry(f"b{i}", backend.port) for i, backend in enumerate(self.backends)]}
         limits = {"policyLimits": {"cancel": self._cancel, "connectTimeoutMs": 30000.0}}
         config = loaded(self._path, told(
             known=known, counter=f"127.0.0.1:{self.counter.port}", settings=settings(**limits)))
@@ -200,7 +205,7 @@
 
     async def __aexit__(self, *error):
         self.host.clients.stop_listening()
-        for server in (self.backend, self.counter):
+        for server in (*self.backends, self.counter):
             server.server.close()
             for writer in server.writers:
                 writer.transport.abort()
@@ -208,6 +213,10 @@
     async def connect(self):
         return Connection(*await asyncio.open_connection(HOST, self.listen))
 
+    def seen(self):
+        """The names of what any backend got."""
+        return [seen.headers["x-request-id"] for backend in self.backends for seen in backend.seen]
+
 
 @pytest.mark.parametrize("cancel", [True, False])
 def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent(tmp_path, cancel):
@@ -230,6 +239,95 @@
     run(scene)
 
 
+def stand_still(client):
+    """The client leaves, and the program reads nothing for a while."""
+    client.close()
+    time.sleep(0.15)
+
+
+@pytest.mark.parametrize("when", ["unread", "while its connection comes up", "between two attempts"])
+def test_a_client_that_left_while_the_gateway_stood_still_gets_no_further_attempt(when, tmp_path):
+    # What came before its end, or a timer, is taken up first: the end itself is not read yet.
+    async def scene():
+        async with Inside(tmp_path, more=1) as w:
+            w.gate.open.set()
+            client = await asyncio.to_thread(socket.create_connection, (HOST, w.listen))
+            if when == "while its connection comes up":
+                connect = w.gate.create_connection
+
+                async def slow(factory, *where):
+                    connection = factory()
+                    made = connection.connection_made
+
+                    def up(transport):
+                        stand_still(client)
+                        made(transport)
+
+                    connection.connection_made = up
+                    return await connect(lambda: connection, *where)
+
+                w.gate.create_connection = slow
+            else:
+                other = await w.connect()
+                while not all(backend.connections for backend in w.backends):
+                    other.send(request(name="before"))
+                    await other.answer()
+                await asyncio.sleep(2.0 * backends.REST_S)  # the next attempt goes out at once
+            client.sendall(request(name="left"))
+            if when == "unread":
+                stand_still(client)
+            elif when == "between two attempts":
+                async def fails(seen, writer):
+                    answer = b"HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n"
+                    os.write(writer.get_extra_info("socket").fileno(), answer)
+                    stand_still(client)
+
+                for backend in w.backends:
+                    backend.reply = fails
+            before = w.host._last
+            await until(lambda: w.host._last > before and not w.host._requests)
+            await asyncio.sleep(0.1)
+            assert w.seen().count(named("left")) == (when == "between two attempts")
+            assert w.host._module.out == 0 and not w.host._names
+
+    run(scene)
+
+
+def test_a_client_that_ends_its_side_has_left_though_it_has_an_answer_unread(tmp_path, monkeypatch):
+    # Closing waits for what is still to be written: the end of the connection may be told long after.
+    monkeypatch.setattr(clients, "STUCK_S", 0.5)
+
+    async def scene():
+        async with Inside(tmp_path, more=1) as w:
+            w.gate.open.set()
+            w.host.clients._listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await asyncio.to_thread(client.connect, (HOST, w.listen))
+            hold = Hold(status(500))
+
+            async def reply(seen, writer):
+                first = seen.headers["x-request-id"] == named("r0")
+                await (ok(b"x" * 60_000) if first else hold)(seen, writer)
+
+            for backend in w.backends:
+                backend.reply = reply
+            client.sendall(request(name="r0") + request(name="r1") + request(name="r2"))
+            await hold.reached.wait()
+            (open_one,) = w.host.clients._open
+            assert open_one.transport.get_write_buffer_size() > 0
+            client.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(0.1)
+            hold.release.set()
+            await asyncio.sleep(0.2)
+            assert sorted(w.seen()) == [named("r0"), named("r1")]
+            assert not w.host._requests
+            await until(lambda: not w.host.clients._open)  # it holds no descriptor for ever
+            client.close()
+
+    run(scene)
+
+
 def test_a_timer_is_never_early():
     # Nothing else happens in this gateway: what the module's timer misses is not made up by other events.
     async def scene():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -47,6 +47,25 @@
     assert not of(later, io.Send) and not answers(later, name)
 
 
+@pytest.mark.parametrize("where", ["gate", "ready"])
+def test_nothing_goes_out_for_a_client_that_left_while_its_request_waited_its_turn(where):
+    p = Play()
+    if where == "gate":
+        requests = [p.request(plan="open") for _ in range(3)]
+    else:
+        p.g.limit = 3.0
+        requests = [p.request() for _ in range(5)]
+    out = [name for name, acts in requests if of(acts, io.Send)]
+    waiting = [name for name, acts in requests if not of(acts, io.Send)]
+    assert out and len(waiting) >= 2
+    p.put(io.ClientLeft(waiting[0]))
+    sent = []
+    for name in out:
+        p.now += 10.0
+        sent += [s.request for s in of(p.ended(name), io.Send)]
+    assert waiting[1] in sent and waiting[0] not in sent
+
+
 def test_the_end_and_the_leaving_in_one_batch():
     p = Play()
     name, _ = p.request(kind="pay")
