Give cold backends one chance a request in large pools, whatever becomes of the others

Seen: thirty gateways among 40 warm and 10 cold backends (virtual time, 8 requests a second each near full load, bursts of half as much again, cold from 0.1, multiple 2, span 1 s): when the warm ones refuse, a cold one gets 2.4 times what N + 2 root of N + 2 allows, when they fail 1.9 times, when they leave the list 1.5 times.

Cause: Gateway.draw let in cold backends by odds, but pick then weighed them against failed ones and took the cold one each time; a request tried again, or looked at again while it waited, was drawn for anew; the odds of failed ones fell and with them the sum that the rest share. And send_rate counted further attempts, and was spread over what is left of the list, so that few cold backends got the load of those that had left.

Excluded: stored tokens of many thin gateways in pools of up to 24 (warm(), random turn): at most 0.96 of the allowance before, also late in the ramp, also for keyed requests tied to a zone half of which failed, but for the case where the warm ones leave.

Now in a large pool a cold backend can be taken with the first draw for a request alone, with odds by its part of the present capacity of all (a running mean of what is drawn), and is not weighed; loads are worked out from first attempts and over 3/4 of the backends known of late at least. Other requests, small pools and fleets without cold backends go as before, but for the draws of random numbers.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -42,6 +42,8 @@
 CROSS_MALUS = 1.15  # a backend across zones counts as so much slower, where crossing has a price
 SAMPLE = 24  # backends all weighed for a choice; where there are more, own attempts tell too little of each
 CHOICES = 6  # and so many are drawn by their present capacity: 4 and 6 measured, fewer open more connections
+KNOWN_SHARE = 0.75  # of the backends known of late: over so many at least the load of cold ones is worked out
+CAPACITY_WEIGHT = 0.02  # of one backend that was drawn, in the mean present capacity of all
 TARGET_AIM = 0.32  # latency, as a share of the aim, above which backends count as crowded
 FLEET_FIRST = 2.0  # attempts out for each backend, all gateways together, before anything is known
 HOLD_ODDS = 1.5  # a wait is worth it while so many times its expected length still leaves time to be served
@@ -193,6 +195,7 @@
         self.aim = min(now + cls.aim_ms, self.deadline)
         self.attempts: list[Attempt] = []
         self.done = self.stream = False
+        self.drawn = False  # a backend has been drawn for it
         self.paid = self.paid_win = 0
         self.price = cls.worth * bucket.plan.price
 
@@ -241,7 +244,7 @@
         self.flights: dict[tuple[str, int], tuple[Attempt, Request]] = {}
         self.servers: dict[str, Server] = {}
         self.usable: list[Server] = []
-        self.heaviest = 1.0  # weight among them
+        self.heaviest, self.capacity = 1.0, 1.0  # weight among them; the mean capacity, as a part of that
         self.calls: dict[str, deque] = {}
         self.ready: list[tuple[float, int, Request]] = []
         self.alarms: list[tuple[float, int, object, object]] = []
@@ -583,18 +586,29 @@
 
     def warm(self, now: float, x: Server, warmth: float) -> bool:
         """Slow start: a cold backend gets its cold share of what a warm one gets from this gateway."""
-        rate = self.send_rate / (len(self.usable) or 1) * warmth
+        # Where most of the others have gone, the rest can bear no more for that.
+        rate = self.send_rate / max(1.0, len(self.usable), KNOWN_SHARE * len(self.servers)) * warmth
         x.cold_tokens, x.cold_at = min(1.5, x.cold_tokens + rate * (now - x.cold_at)), now
         return x.cold_tokens >= 1.0
 
-    def draw(self, now: float) -> list[Server]:
+    def draw(self, now: float, req: Request) -> list[Server]:
         """Candidates out of many backends, each with odds by its present capacity. Of so many a gateway sees
-        too little to tell which is loaded: the whole fleet's choices have to add up to what each can bear."""
+        too little to tell which is loaded: the whole fleet's choices have to add up to what each can bear. A
+        cold one has but one chance with each request, and is not weighed against others: it gets no more from
+        the whole fleet where the others fail."""
         found: list[Server] = []
+        first, req.drawn = not req.drawn, True
+        chance = len(self.usable) / max(self.capacity * len(self.usable), KNOWN_SHARE * len(self.servers))
         for _ in range(SAMPLE):
             x = self.usable[int(self.rng.random() * len(self.usable))]
-            part = x.weight * x.warmth(now, self.s) / (TRIAL_LOAD if x.failed else 1.0)
-            if self.rng.random() * self.heaviest < part:
+            warmth = x.warmth(now, self.s)
+            part = x.weight * warmth / self.heaviest
+            self.capacity += CAPACITY_WEIGHT * (part - self.capacity)
+            part /= TRIAL_LOAD if x.failed else 1.0
+            if warmth < 1.0 and first and self.rng.random() < part * chance:
+                return [x]
+            first = False
+            if warmth >= 1.0 and self.rng.random() < part:
                 found.append(x)
                 if len(found) == CHOICES:
                     break
@@ -612,7 +626,7 @@
             pool = [x for x in pool if (x.zone == home.zone if zone else x.cell == home.cell)]
         large = pool is self.usable and len(pool) > SAMPLE
         if large:
-            pool = self.draw(now)
+            pool = self.draw(now, req)
         elif len(pool) > SAMPLE:
             pool = self.rng.sample(pool, SAMPLE)
         best, best_score = None, float("inf")
@@ -663,6 +677,8 @@
         attempt = Attempt(server, len(req.attempts), now)
         if not req.attempts:
             self.retry_tokens = min(HEDGE_BURST, self.retry_tokens + HEDGE_SHARE)
+            rate = self.send_rate * 0.5 ** ((now - self.rate_at) / MEMORY_MS)
+            self.send_rate, self.rate_at = rate + 0.693 / MEMORY_MS, now
         req.attempts.append(attempt)
         key = (req.id, attempt.no)
         self.flights[key] = (attempt, req)
@@ -671,8 +687,6 @@
         self.credit = max(0.0, self.credit - 1.0)
         req.bucket.open += 1
         server.cold_tokens -= 1.0
-        rate = self.send_rate * 0.5 ** ((now - self.rate_at) / MEMORY_MS)
-        self.send_rate, self.rate_at = rate + 0.693 / MEMORY_MS, now
         self.acts.append(io.Send(req.id, server.id, req.deadline))
         self.at(now + self.mean + RTO_DEVS * self.dev, self.hedge, (req, attempt))
 
