Measure real gateways at list sizes up to 104,000: the real tier of the scale rig

`scale/real.py` starts the program as `run` does, among an agent, a counter and backends of its own on loopback (one wildcard listener on `lo` stands for all backends, each entry at an address of its own), with clients on a fixed schedule timed from when a request was due. 33 figures; `figures(short, progress)` gives them, `python -m scale.real [--short]` prints them. The longest step of the loop comes from a patched gateway beside the measured one: how late a timer of 1 ms is, less the time that the kernel says the process waited for a processor. A refused list leaves the value out and is told.

--- /dev/null
+++ b/tests/test_scale_real.py
@@ -0,0 +1,100 @@
+"""The real tier of the scale rig: it runs, and its meters see what they are there for."""
+
+import asyncio
+
+import uvloop
+
+from scale import real
+from scale.client import Client
+from scale.standins import Agent, Roster
+
+
+def stands_still(ms):
+    """The program does so whenever discovery tells it something."""
+    return f"""
+import time
+from elderhub import discovery
+heard = discovery.Discovery._heard
+discovery.Discovery._heard = lambda self, line: (time.sleep({ms / 1000}), heard(self, line))
+"""
+
+
+def test_the_short_form_gives_every_figure_at_each_size():
+    notes = []
+    found = {figure.name: figure for figure in real.figures(True, notes.append)}
+    assert notes and len(found) == 33
+    for name, figure in found.items():
+        sizes = real.SHORT.customers if figure.size_of == "customers" else real.SHORT.sizes
+        assert [size for size, _ in figure.points] == list(sizes), name
+        assert figure.about and figure.command and "not served" not in figure.about, name
+    assert all(value > 20.0 for _, value in found["resident memory, list known"].points)
+    assert all(0.0 < value < 10.0 for _, value in found["time to ready, nothing known"].points)
+    assert all(0.0 < value <= 1.0 for _, value in found["new connections a request"].points)
+    written = dict(found["bytes of a whole list"].points)
+    assert 3.0 < written[200] / written[50] < 4.0
+
+
+def with_gateway(scene, **how):
+    """`scene` is played with stand-ins, their agent, and a gateway that is ready."""
+    async def play():
+        async with asyncio.timeout(60), real.Site() as site:
+            agent = await Agent(Roster(100, site.backends.port)).start()
+            async with site.gateway(agent, agent.roster.whole(), **how) as program:
+                await program.ready(real.LIMIT_S)
+                await scene(site, agent, program)
+            agent.close()
+    uvloop.run(play())
+
+
+def test_a_program_that_stands_still_is_seen_by_its_meter_and_by_requests_on_a_schedule():
+    still_ms = 120.0
+
+    async def scene(site, agent, program):
+        client = Client(program.address)
+        start = real.time.monotonic()
+        await client.scheduled(real.REQUESTS_PER_S, 0.5)
+        quiet = real.time.monotonic()
+        assert program.longest_step_ms(start, quiet) < still_ms / 2
+        flow = asyncio.create_task(real.Changes(site, [agent], agent.roster).flow(0.01))  # two: it comes back
+        answers = await client.scheduled(real.REQUESTS_PER_S, 1.0)
+        await flow
+        client.close()
+        assert program.longest_step_ms(quiet, real.time.monotonic()) > 0.9 * still_ms
+        added = sorted(answers.added_ms)
+        assert added[-1] > 0.8 * still_ms
+        # All that were due meanwhile waited, not only the one that was out: twice seven or so.
+        assert sum(ms > 0.2 * still_ms for ms in added) >= 8
+        assert added[len(added) // 2] < still_ms / 4
+
+    with_gateway(scene, metered=True, patch=stands_still(still_ms))
+
+
+def test_a_leave_counts_as_in_force_only_once_the_program_has_acted_on_it():
+    still_ms = 20.0
+
+    async def scene(site, agent, program):
+        client, changes = Client(program.address), real.Changes(site, [agent], agent.roster)
+        flow = asyncio.create_task(changes.flow(1.0))
+        await client.scheduled(real.REQUESTS_PER_S, 1.0)
+        await flow
+        client.close()
+        assert changes.in_force_ms and min(changes.in_force_ms) >= still_ms and not changes.never
+
+    with_gateway(scene, patch=stands_still(still_ms))
+
+
+def test_a_list_that_is_refused_is_told_as_refused():
+    async def scene(site, agent, program):
+        agent.roster.prepare(1)
+        assert await real.lists([agent], agent.roster, 1, real.LIMIT_S) == (1, False)
+
+    with_gateway(scene, patch="from elderhub import discovery\ndiscovery.LINE_MOST = 1000\n")
+
+
+def test_lists_that_are_taken_are_told_as_taken():
+    async def scene(site, agent, program):
+        agent.roster.prepare(2)
+        assert await real.lists([agent], agent.roster, 2, real.LIMIT_S) == (2, True)
+        assert agent.after == agent.roster.generation
+
+    with_gateway(scene)
