Read a store off one long window; let in before counting where it is well filled

A thin customer's fixed window was spent early and refused until its end while the store refilled; others paid two calls a borrow, and a plan with a ceiling was refused for want of a call.

Now (cobaltline/quota.py, named in policy; its docstring has the design) a window of the count is 24 s for every plan and its budget fills as it goes, so that one call tells the store's level; overflow, deficits and what a new window's store lacked are put right in the count. Where a store was seen well filled, a request goes out at once and is counted behind, within this gateway's part of what was left. Blind grants weigh sizes.

New: trust, doubt and its bounds.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import heapq
 import random
 import struct
@@ -12,16 +11,12 @@
 from . import interface as io
 from .fleet import Fleet
 from .interface import NEVER_RAN, BackendState, Outcome, Repeat
+from .quota import MILLI, NAME_LIFE_MS, TRUST_SHARE, Bucket
 
 # Tuned values: unit, and why.
-MILLI = 1000  # milli-tokens a unit; the paper charges 1000 a request
-NAME_LIFE_MS = 60000.0  # the longest a counter name lives
-LEASE_SHARE = 0.06  # of last-window use that a lease adds: calls are cheap beside stranded tokens
 DIRECT_GAIN = 0.002  # a good counter call adds so much to the share of borrows that go to the counter at once
 DIRECT_LOSS = 0.5  # and a failed one leaves so much of it; the rest is asked of the customer's home gateway
-SHORT_WINDOWS = 2.0  # windows that a customer found short counts as beyond its quota while calls fail
-SHORT_WAIT = 0.125  # a home waits at least so much of a window where its borrow came back short
-HOMES = 3  # gateways of a customer's set that may be its home, in turn while one does not answer
+SHORT_WAIT = 0.125  # of the time a store fills in: a home waits so long where its borrow came back short
 AWAY_MS = 1000.0  # a home that did not answer is passed over so long, or until it is heard
 WIRE = struct.Struct(">BBIIII")  # a message: version, kind, nonce, amount, wait, clock; then text, then crc32
 VERSION, ASK, GRANT, CLOCK = 1, 1, 2, 0xFFFFFFFF
@@ -31,8 +26,11 @@
 GAP_TIGHT = 1.1  # and one that was good but slow lengthens it so
 SLOW_SHARE = 0.5  # of the time that a call may take: an answer after more of it shows a long line
 CALL_SIZES = 4.0  # a small request waits for a call as long as so many spacings at most, a large one less
+SCARCE_SHARE = 0.5  # of its store: while calls are scarce, who was found short is asked about again with that
+DOUBT_PART = 0.1  # of the price of a call, as some requests are let in before it tells
+DOUBT = 0.05  # share of what is trusted that is taken to find no room, before anything is known
+UNCOUNTED_MOST = 5  # requests let in on trust before a call counts them
 COST_WEIGHT = 0.02  # of one request in the mean cost, and of one borrow in the share that was found short
-BLIND_ODDS = 5.0  # how much more what is let in unasked has to be likely than what it may cost
 RTO_DEVS = 4.0  # deviations above the mean latency before an answer is missed (as TCP does)
 HEDGE_SHARE = 0.1  # further attempts a request may cost on average
 HEDGE_BURST = 10.0  # and at once
@@ -56,126 +54,6 @@
 RESUBSCRIBE_MS = 2500.0  # after a failed call for lists, at most: a change counts as told 6 s after its time
 
 
-class Bucket:
-    """One customer here: leased milli-tokens, the borrow in flight, and what the shared count showed."""
-
-    def __init__(self, key: str, plan: io.Plan, first: int, spread: int, s: io.Settings, now: float):
-        self.key, self.plan, self.first = key, plan, first
-        self.spread = spread = max(1, min(spread, s.gateways))
-        rank = (s.me - first) % max(1, s.gateways)
-        # Homes, the same at each gateway, lend to the set: who sees all of a customer's use needs few calls.
-        digest = hashlib.sha256(f"{plan.name}/{key}".encode()).digest()
-        self.tag = digest.hex()[:40]
-        turns = [int.from_bytes(digest[4 * i:4 * i + 4]) % spread for i in range(HOMES if s.may_tell else 0)]
-        self.homes = [(first + turn) % max(1, s.gateways) for turn in turns]
-        self.home = self.homes.index(s.me) + 1 if s.me in self.homes else 0
-        self.rate = plan.rate  # milli-tokens a millisecond
-        self.cap = int(plan.burst * MILLI)
-        self.win_ms = min(plan.burst / plan.rate * 1000.0, NAME_LIFE_MS / 2.5) if plan.rate > 0 else 1000.0
-        self.win, self.budget = int(now // self.win_ms), min(self.cap, int(self.rate * self.win_ms))
-        self.tokens = self.used = self.used_prev = self.added = self.owed = 0
-        self.total = self.seen = self.carry = 0  # last count; part of it already taken off the level
-        self.prev: int | None = None
-        self.left = 0  # lapsed leftovers of the window before, not yet returned
-        self.level, self.level_at = float(self.cap), now - self.win_ms
-        self.retry_at, self.pending = 0.0, 0  # pending: answers still out for the borrow in flight
-        self.short_at = -1e12  # when the shared window was last found short
-        self.lease = self.lease_win = self.lease_total = 0
-        self.waiting, self.gate = deque(), deque()  # for tokens; for an attempt out to end
-        # Over this part of the limit on attempts out, requests wait for an own one to end.
-        extra = rank < plan.open_limit % spread
-        self.open, self.open_cap = 0, max(1, plan.open_limit // spread + extra)
-        self.tried, self.promised = 0, 0.0  # sources that failed for what waits; last turn told to a peer
-        self.retold = False  # for what waits, the counter was asked once more after a spoilt answer
-        self.part = 1.0 / (self.home or spread)
-        self.local, self.local_at = self.cap * self.part, now
-        # So many gateways that none has a unit of the burst: what one sees of the customer tells it nothing,
-        # and each request costs a call. The window alone counts then: the one before costs a second call.
-        self.thin = self.cap * self.part < MILLI and plan.ceiling_rate <= 0 and not s.may_tell
-        # Unconfirmed grants under a ceiling: a part of ceiling less quota, two units at least, from the first
-        # home on. Starts empty: a gateway that was restarted cannot know what it granted before.
-        extra = max(0.0, plan.ceiling_burst - plan.burst)
-        holders = max(1, min(spread, int(extra / 2)))
-        turn = (rank - (turns[0] if turns else 0)) % spread
-        part = 1.0 / holders if turn < holders else 0.0
-        self.spare_rate = max(0.0, plan.ceiling_rate - plan.rate) * part
-        self.spare_most, self.spare, self.spare_at = extra * MILLI * part, 0.0, now
-        self.touched = now
-
-    def roll(self, now: float) -> None:
-        """Enter the window of `now`: leftovers lapse, this window's count becomes the previous one's."""
-        win = int(now // self.win_ms)
-        if win == self.win:
-            return
-        self.used_prev, self.carry, self.left = self.used, self.seen, max(0, self.tokens) - min(0, self.owed)
-        if win != self.win + 1:
-            self.used_prev = self.carry = self.left = 0
-            self.level, self.level_at = float(self.cap), (win - 1) * self.win_ms
-        self.win, self.prev = win, None
-        self.tokens = self.used = self.added = self.owed = self.total = self.seen = 0
-        self.retry_at = min(self.retry_at, now)
-
-    def spend(self, cost: int) -> None:
-        self.used += cost
-        self.local -= cost
-
-    def want(self, direct: float) -> int:
-        share = max(LEASE_SHARE, 1.0 - direct)
-        cost = self.waiting[0].cost
-        lease = min(int(self.cap * self.part), int(self.used_prev * share) + cost)  # no more than its part
-        return max(lease, sum(r.cost for r in self.waiting), cost)
-
-    def observe(self, now: float, total: int) -> None:
-        """Carry the customer's store forward by what the shared count shows was drawn from it."""
-        drawn = total - self.seen
-        if self.prev is not None and self.carry is not None:
-            drawn += self.prev - self.carry
-            self.carry = None
-        refill = self.rate * (now - self.level_at)
-        self.level = min(self.cap, self.level + refill - drawn / 2) - drawn / 2
-        self.level, self.level_at = max(self.level, -float(self.cap)), now
-        self.seen = self.total = total
-
-    def room(self, now: float) -> float:
-        """What may still be drawn: the window's budget, or the carried store where that holds more."""
-        if self.thin:
-            return self.budget - self.total
-        inside = 1.0 - (now % self.win_ms) / self.win_ms
-        return max(self.budget - (self.prev or 0) * inside - self.total, self.level)
-
-    def local_take(self, now: float, cost: int, odds: float, short: float) -> bool:
-        """The bounded local share that stands in for the counter while calls fail. A share under one request,
-        as many gateways have of a small burst, tells nothing of the customer: unless its window was lately
-        found short, it is let in by odds (a draw below 1), the less likely the more of other customers'
-        borrows came back `short` and the more it costs to let in too much. Refused, its client comes again
-        and may be counted then. After its window was found short: by odds, and owed, so that shares neither
-        lapse nor round up."""
-        self.local = min(self.cap * self.part, self.local + self.rate * self.part * (now - self.local_at))
-        self.local_at = now
-        small = self.cap * self.part < cost
-        unknown = self.thin and now - self.short_at > SHORT_WINDOWS * self.win_ms
-        if unknown:
-            fits = odds >= BLIND_ODDS * self.plan.overrun_cost * short
-        else:
-            fits = self.local >= cost * (odds if small else 1.0) - 1e-6 and self.local > 0
-        if not fits or not self.spare_take(now, cost):
-            return False
-        self.spend(cost)
-        self.owed += cost
-        return True
-
-    def spare_take(self, now: float, cost: int) -> bool:
-        """Under a ceiling, unconfirmed grants draw on this gateway's part of ceiling less quota."""
-        if self.plan.ceiling_rate <= 0:
-            return True
-        spare = self.spare + self.spare_rate * (now - self.spare_at)
-        self.spare, self.spare_at = min(self.spare_most, spare), now
-        if self.spare < cost:
-            return False
-        self.spare -= cost
-        return True
-
-
 class Ask:
     """What another gateway asks of this one as a customer's home; waits like a request."""
 
@@ -197,7 +75,7 @@
         self.attempts: list[Attempt] = []
         self.done = self.stream = False
         self.drawn = False  # a backend has been drawn for it
-        self.paid = self.paid_win = 0
+        self.paid = 0
         self.price = cls.worth * bucket.plan.price
 
     def anchor(self) -> Attempt | None:
@@ -264,6 +142,7 @@
         self.gap, self.call_at, self.direct = 0.0, 0.0, 1.0
         self.gap_fit, self.failing = 0.0, False  # the spacing after a first failure; the last call failed
         self.mean_cost, self.short = float(MILLI), 0.0  # of what waits for a call; thin borrows found short
+        self.doubt = DOUBT  # share of counts that found no room where the store was thought well filled
         self.asked: dict[int, tuple[Bucket, int, int]] = {}  # asks out by nonce: customer, window, home
         self.away: dict[int, float] = {}  # gateways that did not answer: until when they are passed over
         self.ask_ms = 2.0 * settings.counter_wait_ms + 10.0 * settings.tick_ms  # how long one is waited for
@@ -309,6 +188,7 @@
             self.acts.append(io.Reject(e.request))
             return
         bucket = self.bucket(now, plan, e.customer, e.first_gateway, e.spread)
+        bucket.visit(now)
         req = Request(e, self.s.classes.get(e.kind) or io.RequestClass(), bucket, now)
         self.requests[req.id] = req
         self.at(req.deadline - 2 * self.s.tick_ms, self.give_up, req)
@@ -325,10 +205,17 @@
         b = req.bucket
         b.roll(now)
         if b.rate <= 0 or not b.waiting and b.tokens >= req.cost:
-            req.paid, req.paid_win = req.cost, b.win
+            req.paid = req.cost
             b.tokens -= req.cost
             b.spend(req.cost)
             self.granted(now, req)
+        elif not isinstance(req, Ask) and self.trusted(b, req.cost) and b.spare_take(now, req.cost):
+            b.spend(req.cost)
+            b.owed += req.cost
+            b.uncounted += 1
+            self.granted(now, req)
+            if not b.pending and (b.quick or not self.trusted(b, req.cost)):  # the next one has not to wait
+                self.borrow(now, b)
         elif b.pending:
             b.waiting.append(req)
         elif now < b.retry_at:
@@ -337,6 +224,17 @@
             b.waiting.append(req)
             self.refill(now, b)
 
+    def trusted(self, b: Bucket, cost: int) -> bool:
+        """Whether what this customer asks is let in at once and counted behind. Its store has to have been
+        seen well filled, and the request to fit this gateway's part of what was left. Where that is less than
+        a request, doubt decides: trust may cost no more by what then finds no room than it saves in calls."""
+        if not b.filled or b.quick > 1 or self.gap > 4.0 * GAP_FIRST_MS:
+            return False
+        if b.owed + cost <= TRUST_SHARE * b.level * b.part:
+            return True
+        worth_it = self.doubt * b.plan.overrun_cost <= DOUBT_PART * self.s.counter_price
+        return b.thin and b.uncounted < UNCOUNTED_MOST and worth_it
+
     def granted(self, now: float, req: Request | Ask) -> None:
         """Inside the rate. Where the plan limits attempts out, it may have to wait for one to end."""
         if isinstance(req, Ask):
@@ -355,7 +253,7 @@
 
     def alone(self, now: float, req: Request | Ask) -> None:
         """Nobody to ask just now: the local share decides."""
-        fits = req.bucket.local_take(now, req.cost, self.rng.random(), self.short)
+        fits = req.bucket.local_take(now, req.cost, self.rng.random(), self.short, self.mean_cost)
         (self.granted if fits else self.refuse)(now, req)
 
     def refuse(self, now: float, req: Request | Ask) -> None:
@@ -363,7 +261,7 @@
         b, plan = req.bucket, req.bucket.plan
         if isinstance(req, Ask):
             # Each is told a turn of its own, as they would all come back at the same moment.
-            b.promised = min(max(b.promised, b.retry_at, now) + req.cost / b.rate, now + b.win_ms / 2)
+            b.promised = min(max(b.promised, b.retry_at, now) + req.cost / b.rate, now + b.fill_ms / 2)
             self.tell(now, req.peer, GRANT, req.nonce, 0, max(1.0, b.promised - now))
         elif plan.excess_worth > plan.overrun_cost and not self.ready and b.spare_take(now, req.cost):
             self.dispatch(now, req, spare=True)
@@ -425,9 +323,9 @@
             b.roll(now)
             b.pending = 0
             if not amount:
-                b.retry_at = now + min(wait, b.win_ms)
+                b.retry_at = now + min(wait, b.fill_ms)
             elif win == b.win:
-                b.tokens += min(amount, b.want(1.0))
+                b.lend(now, min(amount, b.want(1.0)))
             self.recheck(now, b, False)
 
     def missed(self, now: float, nonce: int) -> None:
@@ -443,21 +341,14 @@
     def call(self, b: Bucket, kind: str, win: int, amount: int) -> None:
         name = f"{b.tag}/{win}"
         self.calls.setdefault(name, deque()).append((b, kind, win))
-        self.acts.append(io.Count(name, amount / MILLI, min(NAME_LIFE_MS, 2.5 * b.win_ms + 1000.0)))
+        self.acts.append(io.Count(name, amount / MILLI, NAME_LIFE_MS))
 
     def borrow(self, now: float, b: Bucket) -> None:
+        """One call: a lease for what waits, and with it what was let in or lapsed here since the last."""
         b.roll(now)
-        b.lease, b.lease_win, b.lease_total, b.pending = b.want(self.direct), b.win, None, 1
+        b.lease, b.lease_win, b.pending = b.want(self.direct), b.win, 1
         self.call_at = max(self.call_at, now + self.gap)
-        if b.prev is None and b.home and b.used_prev and self.direct < 0.5:  # nearly all went through here
-            b.prev, b.left = max(b.used_prev, (b.carry or 0) - b.left), 0
-        elif b.prev is None and not b.thin:
-            b.pending = 2
-            self.call(b, "prev", b.win - 1, -b.left)  # what lapsed here does not stay counted
-            b.left = 0
-        self.call(b, "lease", b.win, b.lease + b.owed)
-        b.added += b.owed
-        b.owed = 0
+        self.call(b, "lease", b.win, b.lease + b.report())
 
     def on_count(self, now: float, e: io.CountResult) -> None:
         line = self.calls.get(e.name)
@@ -499,53 +390,47 @@
 
     def counted(self, now: float, b: Bucket, kind: str, win: int, good: bool, total: int) -> None:
         b.roll(now)
-        if kind == "back":
-            return
-        b.pending -= 1
-        if kind == "prev" and win == b.win - 1:
-            # A count below own use: the counter came back empty, or did not answer.
-            b.prev = total if good and total >= b.used_prev else max(b.carry or 0, b.used_prev)
-        if kind == "lease" and good:
-            b.lease_total = total
-        if b.pending == 0:
-            self.settle(now, b)
-
-    def settle(self, now: float, b: Bucket) -> None:
-        """The borrow has answered: keep what fits, return the excess, recheck the waiting requests."""
-        total = b.lease_total
-        if total is not None and b.lease_win == b.win:
-            lost = b.added + b.lease - total
-            if lost > 0:  # the counter came back empty: put own use back
-                self.call(b, "back", b.win, lost)
-                total += lost
-            b.observe(now, total)
-            room = b.room(now)
-            keep = max(0, min(b.lease, int(b.lease + room)))
-            need = b.waiting[0].cost if b.waiting else MILLI
-            if b.thin:
-                self.short += COST_WEIGHT * ((keep < need) - self.short)
-            if keep < need:  # not even one request fits: try again when the store has refilled that far
-                b.short_at = now
-                wait = b.win_ms - now % b.win_ms if b.thin else (need - room - b.lease) / b.rate
-                b.retry_at = now + max(self.s.tick_ms, min(b.win_ms, wait))
-                if b.home and self.direct < 0.5:  # a few at a time, with fewer calls
-                    b.retry_at = max(b.retry_at, now + b.win_ms * SHORT_WAIT)
-                keep = 0
-            excess = b.lease - keep
-            if excess and b.home and self.direct < 0.5:  # with the next call: nobody else borrows for it
-                b.owed -= excess
-                b.added += excess
-            elif excess and (not b.thin or b.lease + room >= MILLI):  # of no use where no unit is left
-                self.call(b, "back", b.win, -excess)
-            b.level += excess
-            b.total -= excess
-            b.seen -= excess
-            b.tokens += keep
-            b.added += keep
-        if total is None and b.waiting:
-            self.refill(now, b)
+        if kind == "prev" and good and win == b.win - 1:
+            self.put_right(b, b.carry(total))
+        elif kind == "lease":
+            b.pending = 0
+            if good and win == b.win:
+                self.settle(now, b, total)
+            if not good and b.waiting:
+                self.refill(now, b)
+            else:
+                self.recheck(now, b, False)
+
+    def put_right(self, b: Bucket, amount: int) -> None:
+        """Add to the count, or take off, where it has come away from the store."""
+        if amount:
+            self.call(b, "back", b.win, amount)
+            b.added += amount
+
+    def settle(self, now: float, b: Bucket, total: int) -> None:
+        """The borrow has answered: keep what fits, return the excess."""
+        need, trusted = b.waiting[0].cost if b.waiting else 0, b.filled
+        opens, amount = b.take_in(now, total)
+        keep = max(0, min(b.lease, int(b.level)))
+        if trusted:
+            self.doubt += COST_WEIGHT * ((b.level < 0) - self.doubt)
+        if b.thin and need:
+            self.short += COST_WEIGHT * ((keep < need) - self.short)
+        if keep < need:  # not even one request fits: try again when the store has refilled that far
+            b.short_at = now
+            wanted = max(need, SCARCE_SHARE * b.cap) if self.gap else need
+            b.retry_at = now + max(self.s.tick_ms, min(b.fill_ms, (wanted - b.level) / b.rate))
+            if b.home and self.direct < 0.5:  # a few at a time, with fewer calls
+                b.retry_at = max(b.retry_at, now + b.fill_ms * SHORT_WAIT)
+            keep = 0
+        b.lend(now, keep)
+        if b.home and self.direct < 0.5:  # with the next call: nobody else borrows for it
+            b.owed -= b.lease - keep
         else:
-            self.recheck(now, b, False)
+            amount -= b.lease - keep
+        if opens:
+            self.call(b, "prev", b.win - 1, 0)
+        self.put_right(b, amount)
 
     def recheck(self, now: float, b: Bucket, failed: bool) -> None:
         queue, b.waiting, b.tried, b.retold = b.waiting, deque(), 0, False
@@ -812,7 +697,7 @@
         """The one exit of a request."""
         req.done = True
         self.requests.pop(req.id, None)
-        if req.paid and not req.attempts and req.paid_win == req.bucket.win:  # never sent on: not used
+        if req.paid and not req.attempts:  # never sent on: not used
             req.bucket.tokens += req.paid
             req.bucket.spend(-req.paid)
         if answer is not None:
@@ -832,6 +717,7 @@
         self.at(now + IDLE_MS, self.sweep, None)
         self.buckets = {
             key: b for key, b in self.buckets.items()
-            if now - b.touched <= max(IDLE_MS, 2 * b.win_ms) or b.pending or b.open or b.waiting or b.gate}
+            if now - b.touched <= (NAME_LIFE_MS if b.filled else max(IDLE_MS, 2 * b.fill_ms))
+            or b.pending or b.open or b.waiting or b.gate}
         self.fleet.sweep()
         self.notes = {key: x for key, x in self.notes.items() if not key[1] or key[1] in self.servers}
--- /dev/null
+++ b/cobaltline/quota.py
@@ -0,0 +1,205 @@
+"""A customer's token bucket as one gateway has it: borrowing from the shared count that follows demand.
+
+**What it knows.** All gateways keep one number for each customer and window of the clock on the counter: the
+units drawn since the window began. A window is many times as long as the customer's store takes to fill, and
+its budget fills as the window goes, so the store's level can be read off one total: what a full store and the
+refill since the window's start come to, less the total. Two things bring that away from the true store, and
+whoever sees it puts it right in the call that returns its excess: a store that is full takes no more refill
+(that overflow is added to the count), and calls that were given up were counted for nothing (a deficit that
+no store can have is taken off). Whoever opens a window reads the one before, once, and adds what the store
+still lacked.
+
+**Who is asked about.** A request that finds tokens spends them. Else the gateway borrows: one call adds the
+lease, and what does not fit goes back. Where the store was seen well filled, nothing is at stake: the request
+goes out at once, within this gateway's part of what was left, and a call behind it counts it together with
+others (`owed`). A part smaller than a request bounds nothing; there `Gateway.doubt` decides, the share of
+such trust that turned out wrong. A customer that comes many times quicker than it used to is counted at once,
+and asked about first when that goes on.
+
+**When the count is stale or gone.** Calls fail, or have to be spaced: the local share of the quota decides
+(`local_take`), and what it lets in is owed to the count. A customer found short is refused until its store
+has refilled so far (`retry_at`).
+
+**How it gets back.** A counter that came back empty shows a total below this gateway's own part: the count is
+put where the store lacks what this gateway let in of late. A lease that nobody spends while the store would
+fill goes back with the next call.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+
+from . import interface as io
+
+MILLI = 1000  # milli-tokens a unit; the paper charges 1000 a request
+NAME_LIFE_MS = 60000.0  # the longest a counter name lives
+WINDOW_MS = NAME_LIFE_MS / 2.5  # of the shared count: the one before is still there all through the next
+LEASE_SHARE = 0.06  # of last use that a lease adds: calls are cheap beside stranded tokens
+FILLED_SHARE = 0.7  # of its store: a customer that has so much left is let in before it is counted
+TRUST_SHARE = 0.7  # of a gateway's part of what was left: so much it lets in before it counts it
+OVERFLOW_SHARE = 0.1  # of a store that may run over before the count is put right
+DEFICIT_SHARE = 1.0  # of a store: a count that is further below empty is taken for wrong
+QUICK_TIMES = 12.0  # a request that comes so many times sooner than the mean tells of a burst
+PACE_WEIGHT = 0.1  # of one gap in the mean between a customer's requests here
+SHORT_FILLS = 2.0  # times that its store fills in: so long a customer found short counts as beyond its quota
+HOMES = 3  # gateways of a customer's set that may be its home, in turn while one does not answer
+BLIND_ODDS = 7.0  # how much more what is let in unasked has to be likely than what it may cost
+BLIND_SIZE = 1.5  # power of a request's size in that: a large one fits less often, and costs more where not
+
+
+class Bucket:
+    """One customer here: leased milli-tokens, the borrow in flight, and what the shared count showed."""
+
+    def __init__(self, key: str, plan: io.Plan, first: int, spread: int, s: io.Settings, now: float):
+        self.key, self.plan, self.first = key, plan, first
+        self.spread = spread = max(1, min(spread, s.gateways))
+        rank = (s.me - first) % max(1, s.gateways)
+        # Homes, the same at each gateway, lend to the set: who sees all of a customer's use needs few calls.
+        digest = hashlib.sha256(f"{plan.name}/{key}".encode()).digest()
+        self.tag = digest.hex()[:40]
+        turns = [int.from_bytes(digest[4 * i:4 * i + 4]) % spread for i in range(HOMES if s.may_tell else 0)]
+        self.homes = [(first + turn) % max(1, s.gateways) for turn in turns]
+        self.home = self.homes.index(s.me) + 1 if s.me in self.homes else 0
+        self.rate = plan.rate  # milli-tokens a millisecond
+        self.cap = int(plan.burst * MILLI)
+        self.fill_ms = self.cap / self.rate if self.rate > 0 else 1000.0  # in which an empty store fills
+        self.win, self.opened = int(now // WINDOW_MS), -1  # the window; the last one a count was seen of
+        # What this gateway has in the count of this window; let in and not counted yet; lapsed, not returned.
+        self.added = self.owed = self.left = 0
+        self.tokens, self.lent_at, self.lease, self.lease_win = 0, now, 0, 0
+        self.level, self.filled = 0.0, False  # of the store after the last lease; whether that is well filled
+        self.uncounted = 0  # requests that are owed
+        self.spent = self.spent_before = 0  # own use since `spent_at`, and in the `fill_ms` before
+        self.spent_at = now
+        self.visited_at, self.quick = 0.0, 0  # the last request; how many in a row came quickly
+        # Mean gap between requests here; at first that of units at a quarter of the quota.
+        self.pace_ms = 4.0 * MILLI * spread / max(self.rate, 1e-9)
+        self.retry_at, self.pending = 0.0, 0  # pending: answers still out for the borrow in flight
+        self.short_at = -1e12  # when the store was last found short
+        self.waiting, self.gate = deque(), deque()  # for tokens; for an attempt out to end
+        # Over this part of the limit on attempts out, requests wait for an own one to end.
+        extra = rank < plan.open_limit % spread
+        self.open, self.open_cap = 0, max(1, plan.open_limit // spread + extra)
+        self.tried, self.promised = 0, 0.0  # sources that failed for what waits; last turn told to a peer
+        self.retold = False  # for what waits, the counter was asked once more after a spoilt answer
+        self.part = 1.0 / (self.home or spread)
+        self.local, self.local_at = self.cap * self.part, now
+        # So many gateways that none has a unit of the burst: what one sees of the customer tells it nothing.
+        self.thin = self.cap * self.part < MILLI and plan.ceiling_rate <= 0 and not s.may_tell
+        # Unconfirmed grants under a ceiling: a part of ceiling less quota, two units at least, from the first
+        # home on. Starts empty: a gateway that was restarted cannot know what it granted before.
+        extra = max(0.0, plan.ceiling_burst - plan.burst)
+        holders = max(1, min(spread, int(extra / 2)))
+        turn = (rank - (turns[0] if turns else 0)) % spread
+        part = 1.0 / holders if turn < holders else 0.0
+        self.spare_rate = max(0.0, plan.ceiling_rate - plan.rate) * part
+        self.spare_most, self.spare, self.spare_at = extra * MILLI * part, 0.0, now
+        self.touched = now
+
+    def visit(self, now: float) -> None:
+        """A request has come: how quickly, beside the mean of late."""
+        if self.visited_at:
+            gap_ms = now - self.visited_at
+            self.quick = self.quick + 1 if gap_ms * QUICK_TIMES < self.pace_ms else 0
+            self.pace_ms += PACE_WEIGHT * (gap_ms - self.pace_ms)
+        self.visited_at = now
+
+    def roll(self, now: float) -> None:
+        """Bring the clock forward: a new window has nothing counted; leases lapse that nobody spent."""
+        if now - self.spent_at >= self.fill_ms:
+            if now - self.spent_at >= 2.0 * self.fill_ms:  # what was used then has refilled
+                self.spent = self.owed = self.uncounted = 0
+            self.spent_before, self.spent, self.spent_at = self.spent, 0, now
+        if self.tokens > 0 and now - self.lent_at > self.fill_ms:
+            self.left += self.tokens
+            self.tokens = 0
+        if int(now // WINDOW_MS) != self.win:
+            self.win, self.added, self.left = int(now // WINDOW_MS), 0, 0
+
+    def spend(self, cost: int) -> None:
+        self.spent += cost
+        self.local -= cost
+
+    def want(self, direct: float) -> int:
+        """The lease to ask for; none where nothing waits. `direct` is the share of borrows that go well."""
+        if not self.waiting:
+            return 0
+        share = max(LEASE_SHARE, 1.0 - direct)
+        cost = self.waiting[0].cost
+        lease = min(int(self.cap * self.part), int(self.spent_before * share) + cost)  # no more than its part
+        return max(lease, sum(r.cost for r in self.waiting))
+
+    def report(self) -> int:
+        """What the next call counts beside its lease."""
+        own, self.owed, self.left, self.uncounted = self.owed - self.left, 0, 0, 0
+        self.added += own
+        return own
+
+    def take_in(self, now: float, total: int) -> tuple[bool, int]:
+        """The count of this window with the lease in it, from which follows what the store held before the
+        lease (`level`). Returns whether this was the window's first call, and what has to be added to the
+        count to put it right."""
+        self.added += self.lease
+        inside_ms, amount, most = now % WINDOW_MS, 0, float(self.cap)
+        held = self.cap + self.rate * inside_ms - total + self.lease
+        opens = total == self.added and inside_ms < self.fill_ms and self.opened != self.win
+        self.opened = self.win
+        if total < self.added:  # the counter came back empty: what this gateway let in of late is put back
+            self.added, most = total, max(0.0, most - self.spent - self.spent_before)
+            amount = max(0, int(held - most))
+        elif held > (1.0 + OVERFLOW_SHARE) * self.cap and not opens:
+            amount = int(held - self.cap)
+        elif held < -DEFICIT_SHARE * self.cap:
+            amount = int(held + DEFICIT_SHARE * self.cap)
+        self.level = max(-DEFICIT_SHARE * self.cap, min(most, held))
+        return opens, amount
+
+    def lend(self, now: float, keep: int) -> None:
+        """So much of the lease is kept."""
+        self.tokens += keep
+        self.lent_at = now
+        self._draw(keep)
+
+    def carry(self, total: int) -> int:
+        """The window before ended with this total: what its store lacked then, and the count has to have."""
+        held = self.cap + self.rate * WINDOW_MS - total
+        lacked = int(self.cap - max(0.0, min(self.cap, held)))
+        self._draw(lacked)
+        return lacked
+
+    def _draw(self, units: int) -> None:
+        self.level -= units
+        self.filled = self.level >= FILLED_SHARE * self.cap
+
+    def local_take(self, now: float, cost: int, odds: float, short: float, mean_cost: float) -> bool:
+        """The bounded local share that stands in for the counter while calls fail. A share under one request,
+        as many gateways have of a small burst, tells nothing of the customer: unless its store was lately
+        found short, it is let in by odds (a draw below 1), the less likely the more of other customers'
+        borrows came back `short`, the more it costs to let in too much and the larger it is beside the mean.
+        Refused, its client comes again and may be counted then. After its store was found short: by odds,
+        and owed, so that shares neither lapse nor round up."""
+        self.local = min(self.cap * self.part, self.local + self.rate * self.part * (now - self.local_at))
+        self.local_at = now
+        small = self.cap * self.part < cost
+        if self.thin and now - self.short_at > SHORT_FILLS * self.fill_ms:
+            risk = self.plan.overrun_cost * short * (cost / mean_cost) ** BLIND_SIZE
+            fits = odds >= BLIND_ODDS * risk
+        else:
+            fits = self.local >= cost * (odds if small else 1.0) - 1e-6 and self.local > 0
+        if not fits or not self.spare_take(now, cost):
+            return False
+        self.spend(cost)
+        self.owed += cost
+        return True
+
+    def spare_take(self, now: float, cost: int) -> bool:
+        """Under a ceiling, unconfirmed grants draw on this gateway's part of ceiling less quota."""
+        if self.plan.ceiling_rate <= 0:
+            return True
+        spare = self.spare + self.spare_rate * (now - self.spare_at)
+        self.spare, self.spare_at = min(self.spare_most, spare), now
+        if self.spare < cost:
+            return False
+        self.spare -= cost
+        return True
