Keep small starts as they were, and keep one string for each backend that a list names

Cause: two more dataclasses were made at each start, and the set of what a list names kept the names as decoded, beside those that are known.

Change: `Part` and `Taken` are plain classes; the set holds the known string.

The test of the reader compares the same fields as a tuple.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -7,7 +7,7 @@
 import random
 import sys
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from itertools import islice
 
 import httptools
@@ -164,15 +164,15 @@
                 return
 
 
-@dataclass(slots=True)
 class Taken:
     """What has been taken in of the object that is under way."""
 
-    version: int | None = None
-    stale: bool | None = None  # older than one before
-    named: set[str] = field(default_factory=set)
-    held: list[tuple[io.Backend, Address]] = field(default_factory=list)  # until it shows whether it is stale
-    unnamed: Iterator[str] | None = None  # once it has ended and was a whole list: all that it may leave out
+    def __init__(self) -> None:
+        self.version: int | None = None
+        self.stale: bool | None = None  # older than one before
+        self.named: set[str] = set()
+        self.held: list[tuple[io.Backend, Address | None]] = []  # until it shows whether it is stale
+        self.unnamed: Iterator[str] | None = None  # after the end of a whole list: what it may have left out
 
 
 class Discovery:
@@ -295,7 +295,7 @@
         """Whether an entry differs from what is known, which it then is. A list older than one before, as a
         new place may have that is behind, takes no leave back: only another process under that name does."""
         name, taken, known = backend.id, self._taken, self._known.get(backend.id)
-        taken.named.add(name)
+        taken.named.add(known[0].id if known else name)  # the one that is kept: the other goes at once
         if backend.state is io.BackendState.UP and backend.started_ms <= self._leaving.get(name, -1.0):
             if taken.stale is None:
                 taken.held.append((backend, where))
--- a/elderhub/lists.py
+++ b/elderhub/lists.py
@@ -6,7 +6,6 @@
 import json
 import re
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 ENTRY_MOST = 1 << 16  # characters of an entry, and of all in an object that is none; ours have under 300
 ENTRIES_MOST = 1 << 17  # entries of one object: five times what is designed for
@@ -16,14 +15,13 @@
 _decode = json.JSONDecoder().scan_once  # the decoder in C, which also tells where a value ends
 
 
-@dataclass(slots=True)
 class Part:
     """What was read at once of one object, and what is known by now of the whole of it."""
 
-    entries: list = field(default_factory=list)  # of `instances`, decoded
-    generation: object = None
-    reset: object = None
-    ends: bool = False  # the object
+    def __init__(self, generation: object = None, reset: object = None):
+        self.entries: list = []  # of `instances`, decoded
+        self.generation, self.reset = generation, reset
+        self.ends = False  # the object
 
 
 class Reader:
@@ -47,7 +45,7 @@
         if not next(self._steps) and not self._part.entries:
             return None
         part = self._part
-        self._part = Part() if part.ends else Part([], part.generation, part.reset)
+        self._part = Part() if part.ends else Part(part.generation, part.reset)
         return part
 
     def any(self) -> bool:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -6,7 +6,7 @@
 import pytest
 
 from elderhub import lists
-from elderhub.lists import Part, Reader
+from elderhub.lists import Reader
 
 ENTRIES = [
     {"instanceId": f"s-{i}", "zone": 'a"}]\\{[', "weight": 1.5e-3 * i, "more": {"of": [{}, [i], "é\u2028\n"]}}
@@ -34,7 +34,7 @@
     for part in parts(data, size, most):
         entries += part.entries
         if part.ends:
-            whole.append(Part(entries, part.generation, part.reset, True))
+            whole.append((entries, part.generation, part.reset))
             entries = []
     return whole
 
@@ -44,7 +44,7 @@
     {}, {"indent": 2}, {"indent": "\t", "ensure_ascii": False}, {"separators": (",", ":")}], ids=str)
 def test_objects_are_read_in_any_pieces_and_any_form(size, form):
     assert objects(stream(WHOLE, LATE, BARE, **form), size) == [
-        Part(ENTRIES, 41, True, True), Part(ENTRIES[:3], 42, False, True), Part([], 43, None, True)]
+        (ENTRIES, 41, True), (ENTRIES[:3], 42, False), ([], 43, None)]
 
 
 def test_entries_are_handed_on_as_they_come_and_so_many_at_once_at_most():
