Keep 36 descriptors for the gateway's own needs; let clients give way when none is left

Seen: with 64 descriptors, also as the process's limit, 150 idle clients that come again when closed, and discovery and counter down: once those were back the counter was reached after 4.3 s, and each new client waited in the queue of the listening socket behind 'Too many open files' some 190 times a second; 40 requests one after another were not served in 50 s.

Cause: clients got half of the descriptors and backends three tenths, whatever the number. What is left is 13 of 64; the program holds 24 at rest (listed from /proc). And Clients._accept gave room only beyond its own count of connections, not when the system had no descriptor left.

Now 36 are kept (24, as many again of discovery and counter at a move, and some that are just being closed); what is left is parted 3 to 2 where that is less than the old shares, below 216 descriptors for clients and 144 for backends. Where accept finds none, those clients give way that matter least.

tests/test_descriptors.py (lists pushed and asked for; drain heard, counter and backends reached, real clients served), without the change: 2 failed (time-outs); with it 2 passed, twice. test_clients.py, test_host.py: 46 passed.

--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -300,6 +300,7 @@
                     return
             except OSError as error:  # no descriptor left: the loop would try it again and again
                 seldom.warning("no connection can be taken: %s", error)
+                self._close(ACCEPT_MOST, (0, 1, 2, 3))  # others need some as well
                 self._wait_for_room()
                 return
 
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -27,8 +27,11 @@
 
 log = logging.getLogger(__name__)
 
-CLIENT_SHARE = 0.5  # of the descriptors, for clients' connections
-BACKEND_SHARE = 0.3  # and for backends'; the rest is for all else
+# Descriptors that neither clients nor backends get: 24 are open at rest (loop, logs, listening, messages,
+# counter, discovery), a move doubles the last two, and a connection that ends holds its own for a moment.
+OWN_SOCKETS = 36
+CLIENT_SHARE, CLIENT_PART = 0.5, 0.6  # clients' connections: of all, and at most of what is left
+BACKEND_SHARE, BACKEND_PART = 0.3, 0.4  # and those to backends
 
 
 class Clock:
@@ -69,8 +72,11 @@
         self._last = 0
         self._events: deque = deque()
         self._busy = False
-        self.clients = Clients(self, settings, int(config.sockets * CLIENT_SHARE))
-        self.backends = Backends(settings, config.keepalive_ms, int(config.sockets * BACKEND_SHARE))
+        left = config.sockets - OWN_SOCKETS
+        self.clients = Clients(
+            self, settings, int(min(config.sockets * CLIENT_SHARE, left * CLIENT_PART)))
+        self.backends = Backends(
+            settings, config.keepalive_ms, int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART)))
         self.counter = Counter(config.counter, settings.counter_wait_ms, self.put) if config.counter else None
         self.discovery = Discovery(
             config.discovery, config.known.event.version, self.listed,
