Be ready 5 s after the start at the latest, also where no backend is known

Cause: _ready waited for a backend without end, so a process that was restarted while the list was empty, or with nothing remembered while discovery was silent, was not ready.

Excluded, ready in 0.6 to 1.7 s before too: discovery silent or late with a remembered list, a remembered list whose backends are gone, the counter down, all of them at once, a kill under load.

tests/test_ready.py, without the change: 2 failed (empty list; silent and nothing remembered), 6 passed; with it 8 passed, those two ready 5 s after the start.

--- a/elderhub/__main__.py
+++ b/elderhub/__main__.py
@@ -15,6 +15,7 @@
 from .host import Host
 
 FIRST_LIST_S = 1.0  # so long a start waits for discovery before it serves from the list it remembers
+READY_S = 5.0  # ready by then, though no backend is known: what comes is refused until one is
 ACCEPT_S = 0.5  # so long after SIGTERM new connections still come
 MOST_DEADLINE_S = 3.0  # after SIGTERM, SIGKILL may come after the longest deadline, this at most, and a bit
 LAST_ANSWERS_S = 0.4  # of that bit: what is open then is answered
@@ -62,13 +63,18 @@
 
 
 async def _ready(host: Host) -> None:
-    """Serves once there are backends to send to, and the list is fresh or discovery is silent."""
+    """Serves once there are backends to send to, and the list is fresh or discovery is silent; or late."""
+    loop = asyncio.get_running_loop()
+    last = loop.time() + READY_S
     try:
         async with asyncio.timeout(FIRST_LIST_S):
             await host.discovery.first.wait()
     except TimeoutError:
         log.warning("discovery is silent: serving from the list remembered")
     while not host.backends.any_up():
+        if loop.time() >= last:
+            log.warning("ready without a backend")
+            break
         await asyncio.sleep(POLL_S)
     host.clients.ready = True
 
