--- a/tests/test_scale_real.py
+++ b/tests/test_scale_real.py
@@ -13,9 +13,9 @@
     """The program does so whenever discovery tells it something."""
     return f"""
 import time
-from elderhub import discovery
-heard = discovery.Discovery._heard
-discovery.Discovery._heard = lambda self, line: (time.sleep({ms / 1000}), heard(self, line))
+from elderhub import host
+listed = host.Host.listed
+host.Host.listed = lambda self, found: (found.event.backends and time.sleep({ms / 1000}), listed(self, found))
 """
 
 
@@ -88,7 +88,7 @@
         agent.roster.prepare(1)
         assert await real.lists([agent], agent.roster, 1, real.LIMIT_S) == (1, False)
 
-    with_gateway(scene, patch="from elderhub import discovery\ndiscovery.LINE_MOST = 1000\n")
+    with_gateway(scene, patch="from elderhub import lists\nlists.ENTRIES_MOST = 10\n")
 
 
 def test_lists_that_are_taken_are_told_as_taken():
