--- /dev/null
+++ b/scale/counter.py
@@ -0,0 +1,80 @@
+"""Stand-in for the counter: parts that serve calls in turn, with a line that is bounded."""
+
+from __future__ import annotations
+
+import zlib
+from collections import Counter as Counts
+from collections.abc import Callable
+
+from cobaltline import interface as io
+
+from .clock import Clock
+from .links import Links
+
+LINE = 1.5  # a part's longest line, in time-outs of its callers; the site draws 0.4 to 3
+SWEEP_MS = 5000.0  # between two looks for names whose life is over
+
+
+class Counter:
+    """Names lie on one of `parts`; together these serve `per_s` calls a second. It stands in one zone.
+
+    A call adds also where its caller no longer waits. `slow` is how much longer a call takes than usual.
+    """
+
+    def __init__(self, clock: Clock, links: Links, zone: str, parts: int, per_s: float, wait_ms: float):
+        self._clock, self._links, self._zone = clock, links, zone
+        self._service_ms, self._wait_ms = parts * 1000.0 / per_s, wait_ms
+        self._free_at = [0.0] * parts
+        self._numbers: dict[str, list] = {}  # total, when it is forgotten
+        self.slow, self.gone = 1.0, False
+        self.calls: Counts[str] = Counts()  # by the plan they were made for
+        self.unanswered = 0  # timed out, turned away or not reached
+        clock.at(clock.now + SWEEP_MS, self._sweep)
+
+    def call(self, zone: str, ask: io.Count, plan: str, answer: Callable[[io.CountResult], None]) -> None:
+        """Gets exactly one `CountResult`, in the order of the calls of one name and caller."""
+        self.calls[plan] += 1
+        sent = self._clock.now
+        if self.gone or not self._links.reach(zone, self._zone):
+            self._unheard(ask, sent, answer)
+            return
+        link_ms = self._links.delay(zone, self._zone)
+        self._clock.at(sent + link_ms, self._take, ask, sent, link_ms, answer)
+
+    def _unheard(self, ask: io.Count, sent: float, answer) -> None:
+        self.unanswered += 1
+        result = io.CountResult(ask.name, io.Outcome.TIMEOUT, 0.0, self._wait_ms)
+        self._clock.at(sent + self._wait_ms, answer, result)
+
+    def _take(self, ask: io.Count, sent: float, link_ms: float, answer) -> None:
+        if self.gone:
+            self._unheard(ask, sent, answer)
+            return
+        now = self._clock.now
+        part = zlib.crc32(ask.name.encode()) % len(self._free_at)
+        line_ms = max(0.0, self._free_at[part] - now)
+        if line_ms > LINE * self._wait_ms:
+            self.unanswered += 1
+            result = io.CountResult(ask.name, io.Outcome.FULL, 0.0, now + link_ms - sent)
+            self._clock.at(now + link_ms, answer, result)
+            return
+        done = self._free_at[part] = now + line_ms + self._service_ms * self.slow
+        number = self._numbers.get(ask.name)
+        if number is None or number[1] <= now:
+            number = self._numbers[ask.name] = [0.0, now + ask.ttl_ms]
+        number[0] += ask.amount
+        took = done + link_ms - sent
+        if took > self._wait_ms:
+            self._unheard(ask, sent, answer)
+        else:
+            result = io.CountResult(ask.name, io.Outcome.OK, float(f"{number[0]:.7g}"), took)
+            self._clock.at(done + link_ms, answer, result)
+
+    def empty(self) -> None:
+        """It stands elsewhere now, and knows nothing."""
+        self._numbers.clear()
+
+    def _sweep(self) -> None:
+        now = self._clock.now
+        self._numbers = {name: number for name, number in self._numbers.items() if number[1] > now}
+        self._clock.at(now + SWEEP_MS, self._sweep)
--- /dev/null
+++ b/scale/hollow.py
@@ -0,0 +1,339 @@
+"""A hollow gateway: the real decision module, with stand-ins for all that it reaches.
+
+Carries out the module's actions as the program's host does, and checks what it owes: one final answer to
+each request, in time; never two attempts at once where that is not allowed; nothing sent on once a request is
+over; nothing refused or repeated that may have run and may not; no sends to backends that drain.
+"""
+
+from __future__ import annotations
+
+import math
+
+from cobaltline import Gateway
+from cobaltline import interface as io
+
+from .backends import CONNECT_MS, HANDSHAKE_MS, HANDSHAKE_RTTS, Health, Pool
+from .clients import KINDS, Try
+
+SWEEP_MS = 1000.0  # between two looks for idle connections (as `elderhub.backends`)
+ERRORS = 0.001  # of the answers; the site draws 0 to 0.002
+SOCKETS_MS = 50.0  # the protocol page: on sockets every time limit is so much longer
+
+
+class Attempt:
+    """One attempt out: which try, which number, and the connection it goes over."""
+
+    __slots__ = ("order", "trying", "number", "backend", "pool", "life", "sent", "over", "lost")
+
+    def __init__(self, order: int, trying: Try, number: int, pool: Pool, sent: float):
+        self.order, self.trying, self.number, self.sent = order, trying, number, sent
+        self.pool, self.backend, self.life = pool, pool.backend, -1  # -1: no connection yet
+        self.over = self.lost = False
+
+
+class HollowGateway:
+    """One life of one gateway. `world` has the clock, the links, backends, counter, discovery and record."""
+
+    def __init__(self, world, number: int, zone: str, settings: io.Settings, seed: int, module=Gateway):
+        self.world, self.number, self.zone = world, number, zone
+        self.settings, self.dead = settings, False
+        self._module = module(settings, seed)
+        self._open: dict[str, Try] = {}
+        self._pools: dict[str, Pool] = {}
+        self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._left_at: dict[str, float] = {}  # backends that drain or are gone: since when it was told
+        self._plan_of: dict[str, str] = {}  # of counter names
+        self._event = None  # that is being handled
+        self._do = {
+            io.Send: self._send, io.Reject: self._reject, io.Fail: self._fail, io.Cancel: self._cancel,
+            io.Count: self._count, io.SetTimer: self._set_timer, io.Probe: self._probe,
+            io.CloseIdle: self._close_idle, io.Subscribe: self._fetch, io.Fetch: self._fetch,
+            io.Log: self._log, io.Tell: self._tell}
+        world.clock.at(world.clock.now + SWEEP_MS, self._sweep)
+
+    # Events in, actions out.
+
+    def put(self, event) -> None:
+        if self.dead:
+            return
+        self._event = event
+        for action in self._module.handle(self.world.clock.now, event):
+            self._do[type(action)](action)
+
+    def take(self, t: Try, event: io.RequestArrived) -> bool:
+        """A request has come; False where the gateway does not run."""
+        if self.dead:
+            return False
+        self._open[t.request] = t
+        self.put(event)
+        return True
+
+    def leave(self, t: Try) -> None:
+        """The client has gone."""
+        if self._open.pop(t.request, None) is not None:
+            t.done = True
+            self.put(io.ClientLeft(t.request))
+
+    def listed(self, event: io.BackendsChanged) -> None:
+        now = self.world.clock.now
+        named = {entry.id for entry in event.backends}
+        if event.kind is not io.ListKind.CHANGES:
+            for gone in [name for name in self._pools if name not in named]:
+                self._left_at.setdefault(gone, now)
+        for entry in event.backends:
+            if entry.state is io.BackendState.UP:
+                self._left_at.pop(entry.id, None)
+            else:
+                self._left_at.setdefault(entry.id, now)
+        self.put(event)
+
+    def _set_timer(self, action: io.SetTimer) -> None:
+        when = self.world.clock.now + math.ceil(max(0.0, action.delay_ms))  # whole ms, as the loop counts
+        self.world.clock.at(when, self.put, io.TimerFired(action.token))
+
+    def _log(self, action: io.Log) -> None:
+        self.world.record.logs += 1
+
+    def _broken(self, what: str) -> None:
+        self.world.record.broken[what] += 1
+
+    def _tell(self, action: io.Tell) -> None:
+        self._broken("message to a peer, which the settings do not allow")
+
+    # The end of a request.
+
+    def _finish(self, request: str) -> Try | None:
+        t = self._open.pop(request, None)
+        if t is None:
+            self._broken("a second final answer")
+            return None
+        t.done = True
+        if self.world.clock.now > t.deadline + self.settings.answer_slack_ms + SOCKETS_MS:
+            self._broken("a late final answer")
+        return t
+
+    def _reject(self, action: io.Reject) -> None:
+        t = self._finish(action.request)
+        if t is None:
+            return
+        w = self.world
+        if KINDS[t.kind].io_class.repeat is io.Repeat.UNSAFE and (t.ran or t.out):
+            self._broken("refused what may have run")
+        w.record.refused += 1
+        if not t.sends:
+            room, half = w.accounts[t.customer].room(w.clock.now, t.units)
+            w.record.refused_with_room += room
+            w.record.refused_half_unused += half
+        w.clients.ended(t, "refused", action.retry_after_ms)
+
+    def _fail(self, action: io.Fail) -> None:
+        t = self._finish(action.request)
+        if t is not None:
+            self.world.record.failed += 1
+            self.world.clients.ended(t, "failed")
+
+    # Attempts.
+
+    def _send(self, action: io.Send) -> None:
+        w, now = self.world, self.world.clock.now
+        t = self._open.get(action.request)
+        if t is None:
+            self._broken("sent on after its end")
+            return
+        if t.out and not self.settings.may_duplicate:
+            self._broken("two attempts at once")
+        if t.ran and KINDS[t.kind].io_class.repeat is io.Repeat.UNSAFE:
+            self._broken("repeated what may have run")
+        left_at = self._left_at.get(action.backend)
+        if left_at is not None and now > left_at + self.settings.drain_grace_ms + SOCKETS_MS:
+            self._broken("sent to a backend that had left")
+        account = w.accounts[t.customer]
+        first = not t.sends
+        if first:
+            self._account(t, account, now)
+        pool = self._pools.get(action.backend)
+        if pool is None:
+            pool = self._pools[action.backend] = Pool(w.backends[action.backend])
+        w.order += 1
+        attempt = Attempt(w.order, t, t.sends, pool, now)
+        t.out[t.sends] = attempt
+        t.sends += 1
+        account.out += 1
+        w.record.attempts += 1
+        self._attempts[t.request, attempt.number] = attempt
+        ready = self._connect(attempt, now)
+        if first and ready is not None:
+            w.record.added.record_value(max(1, int((ready - t.arrived) * 1000.0)))
+
+    def _account(self, t: Try, account, now: float) -> None:
+        w = self.world
+        w.record.decided.record_value(max(1, int((now - t.arrived) * 1000.0)))
+        w.record.waited += isinstance(self._event, io.CountResult)
+        if account.over_ceiling(now, t.units):
+            self._broken("over the ceiling")
+        t.within = account.sent(now, t.units)
+        if t.within:
+            w.record.inside += 1
+            w.record.worth_inside += t.worth
+        else:
+            w.record.beyond += 1
+            w.record.worth_beyond += t.worth
+            w.record.beyond_cost += t.worth * account.plan.overrun_cost
+            w.record.second(int((now - w.begin) / 1000.0)).beyond += t.worth
+
+    def _connect(self, attempt: Attempt, now: float) -> float | None:
+        """Bring it on a connection; when that is ready, or None if it never is."""
+        w, backend = self.world, attempt.backend
+        link_ms = w.links.delay(self.zone, backend.zone)
+        heard = backend.health is not Health.SILENT and w.links.reach(self.zone, backend.zone)
+        if heard and backend.health is Health.UP and attempt.pool.take(now):
+            ready = now
+        elif not heard:
+            until = min(now + CONNECT_MS, attempt.trying.deadline)
+            w.clock.at(until, self._ended, attempt, io.Outcome.CONNECT_FAILED)
+            return None
+        elif backend.health is Health.DEAD or not attempt.pool.open():
+            w.clock.at(now + 2.0 * link_ms, self._ended, attempt, io.Outcome.CONNECT_FAILED)
+            return None
+        else:
+            w.record.connections += 1
+            ready = now + HANDSHAKE_RTTS * 2.0 * link_ms + HANDSHAKE_MS
+        attempt.life = backend.life
+        w.clock.at(ready + link_ms, self._reach, attempt, link_ms)
+        return ready
+
+    def _reach(self, attempt: Attempt, link_ms: float) -> None:
+        """Its last byte has come to the backend."""
+        if attempt.over:
+            return
+        w, backend = self.world, attempt.backend
+        if backend.health is Health.DEAD or backend.life != attempt.life:
+            w.clock.at(w.clock.now + link_ms, self._ended, attempt, io.Outcome.RESET)
+            return
+        if backend.health is Health.SILENT or not w.links.reach(self.zone, backend.zone):
+            self._unheard(attempt)
+            return
+        if backend.weigh(attempt.trying.work_ms):
+            self._broken("a cold backend pushed over")
+            w.stop(backend, Health.DEAD)
+        done = None if backend.health is Health.DEAD else backend.serve(attempt.trying.work_ms)
+        if done is None:
+            w.clock.at(w.clock.now + link_ms, self._ended, attempt, io.Outcome.FULL)
+            return
+        backend.held.add(attempt)
+        outcome = io.Outcome.ERROR if w.rng.random() < ERRORS else io.Outcome.OK
+        back = done + link_ms
+        if back > attempt.trying.deadline:
+            back, outcome = attempt.trying.deadline, io.Outcome.TIMEOUT
+        w.clock.at(back, self._answered, attempt, outcome)
+
+    def _unheard(self, attempt: Attempt) -> None:
+        attempt.lost = True
+        self.world.clock.at(attempt.trying.deadline, self._ended, attempt, io.Outcome.TIMEOUT)
+
+    def _answered(self, attempt: Attempt, outcome: io.Outcome) -> None:
+        attempt.backend.held.discard(attempt)
+        if attempt.over or attempt.lost:
+            return
+        if not self.world.links.reach(self.zone, attempt.backend.zone):
+            self._unheard(attempt)
+        else:
+            self._ended(attempt, outcome)
+
+    def stopped(self, attempt: Attempt, health: Health) -> None:
+        """The backend that held it has died, or fell silent."""
+        if attempt.over or attempt.lost:
+            return
+        if health is Health.SILENT:
+            self._unheard(attempt)
+        else:
+            link_ms = self.world.links.delay(self.zone, attempt.backend.zone)
+            attempt.lost = True
+            self.world.clock.at(self.world.clock.now + link_ms, self._ended, attempt, io.Outcome.RESET)
+
+    def _ended(self, attempt: Attempt, outcome: io.Outcome) -> None:
+        if attempt.over:
+            return
+        w, t, now = self.world, attempt.trying, self.world.clock.now
+        attempt.over = True
+        w.record.outcomes[outcome.value] += 1
+        if attempt.life >= 0:
+            kept = outcome in (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.FULL)
+            attempt.pool.end(now, attempt.life, kept)
+        w.accounts[t.customer].out -= 1
+        del t.out[attempt.number]
+        self._attempts.pop((t.request, attempt.number), None)
+        if self.dead:
+            return
+        t.ran = t.ran or outcome not in io.NEVER_RAN
+        answers = outcome is io.Outcome.OK and t.request in self._open
+        if answers:
+            self._finish(t.request)
+        self.put(io.AttemptEnded(
+            t.request, attempt.number, attempt.backend.name, outcome, t.done, now - attempt.sent))
+        if answers:
+            w.clients.ended(t, "served")
+
+    def _cancel(self, action: io.Cancel) -> None:
+        if not self.settings.may_cancel:
+            self._broken("called off, which the settings do not allow")
+        attempt = self._attempts.get((action.request, action.attempt))
+        if attempt is not None and not attempt.over:
+            # What is on its way already runs: nothing is taken back from a backend.
+            self.world.clock.at(self.world.clock.now, self._ended, attempt, io.Outcome.CANCELLED)
+
+    def _sweep(self) -> None:
+        if self.dead:
+            return
+        now = self.world.clock.now
+        self._pools = {name: pool for name, pool in self._pools.items() if not pool.retire(now)}
+        self.world.clock.at(now + SWEEP_MS, self._sweep)
+
+    def _close_idle(self, action: io.CloseIdle) -> None:
+        pool = self._pools.get(action.backend)
+        if pool is not None:
+            pool.retire(self.world.clock.now, 0.0)
+
+    # All else.
+
+    def _count(self, action: io.Count) -> None:
+        """A call is booked to the plan whose request brought it about."""
+        event = self._event
+        if isinstance(event, io.RequestArrived):
+            plan = event.plan
+        else:
+            name = getattr(event, "name", action.name)
+            plan = self._plan_of.get(name) or self._plan_of.get(action.name, "other")
+        self._plan_of[action.name] = plan
+        self.world.counter.call(self.zone, action, plan, self.put)
+
+    def _probe(self, action: io.Probe) -> None:
+        w, backend = self.world, self.world.backends[action.backend]
+        up = backend.health is Health.UP and w.links.reach(self.zone, backend.zone)
+        took = 2.0 * w.links.delay(self.zone, backend.zone) if up else CONNECT_MS
+        outcome = io.Outcome.OK if up else io.Outcome.CONNECT_FAILED
+        w.clock.at(w.clock.now + took, self.put, io.ProbeResult(action.backend, outcome, took))
+
+    def _fetch(self, action) -> None:
+        self.world.discovery.fetch(self)
+
+    # The end.
+
+    def kill(self) -> None:
+        """The process dies: its connections are reset, and its requests lost, unless clients come again."""
+        self.dead = True
+        now = self.world.clock.now
+        for attempt in list(self._attempts.values()):
+            self._ended(attempt, io.Outcome.RESET)
+        for pool in self._pools.values():
+            pool.retire(now, 0.0)
+        opened, self._open = self._open, {}
+        for t in opened.values():
+            t.done = True
+            self.world.record.lost += 1
+            self.world.clients.ended(t, "lost")
+
+    def unanswered(self) -> int:
+        """Requests still open though their time is up."""
+        late = self.settings.answer_slack_ms + SOCKETS_MS
+        return sum(1 for t in self._open.values() if self.world.clock.now > t.deadline + late)
--- /dev/null
+++ b/scale/record.py
@@ -0,0 +1,104 @@
+"""What a play has shown: counts, sums and histograms, and the figures made of them."""
+
+from __future__ import annotations
+
+from collections import Counter as Counts
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+MOST_US = 60_000_000  # the longest time that a histogram tells apart
+DIGITS = 3  # significant digits of its values
+
+
+def histogram() -> HdrHistogram:
+    """Of times in microseconds."""
+    return HdrHistogram(1, MOST_US, DIGITS)
+
+
+@dataclass(slots=True)
+class Second:
+    """What was asked in one second of the play, and what became of it. All of it is worth."""
+
+    asked: float = 0.0  # inside the quotas, by first tries
+    served: float = 0.0  # inside the quotas, in time
+    beyond: float = 0.0  # sent on beyond the quotas
+
+
+@dataclass(slots=True)
+class Record:
+    """Counts are of tries unless told otherwise; worth is class worth x plan price x units."""
+
+    first_tries: int = 0
+    tries: int = 0
+    inside: int = 0  # tries sent on that the store held the units for
+    beyond: int = 0
+    refused: int = 0
+    refused_with_room: int = 0  # never sent on, and inside each quota as they were refused
+    refused_half_unused: int = 0  # and half of each quota or more was unused besides
+    failed: int = 0
+    served: int = 0
+    served_late: int = 0
+    lost: int = 0  # with the gateway that held them
+    left: int = 0  # their clients went
+    waited: int = 0  # first sent on when a counter call had answered
+    worth_asked: float = 0.0  # by first tries, inside the quotas
+    worth_inside: float = 0.0
+    worth_beyond: float = 0.0
+    beyond_cost: float = 0.0  # worth beyond x the plan's overrun cost
+    worth_served: float = 0.0  # inside the quotas, within the aim
+    attempts: int = 0
+    connections: int = 0  # opened
+    logs: int = 0
+    tries_by_plan: Counts[str] = field(default_factory=Counts)
+    broken: Counts[str] = field(default_factory=Counts)
+    outcomes: Counts[str] = field(default_factory=Counts)
+    decided: HdrHistogram = field(default_factory=histogram)  # arrival to the first attempt
+    added: HdrHistogram = field(default_factory=histogram)  # and until its connection was ready
+    seconds: dict[int, Second] = field(default_factory=dict)
+
+    def second(self, number: int) -> Second:
+        found = self.seconds.get(number)
+        if found is None:
+            found = self.seconds[number] = Second()
+        return found
+
+
+def share(part: float, whole: float) -> float:
+    return part / whole if whole else 0.0
+
+
+def figures(world) -> dict[str, float | int | dict]:
+    """The record of a play that is over, as plain numbers: what a table or JSON shows, and tests compare."""
+    r: Record = world.record
+    counter, backends = world.counter, world.backends.values()
+    # Busy time of a core for what a backend can do: backends of unlike speed are compared by it.
+    loads = [b.busy_ms / b.cores for b in backends]
+    cold = [b.cold_load for b in backends if b.cold_load]
+    sent = r.inside + r.beyond
+    return {
+        "first_tries": r.first_tries, "tries": r.tries, "sent_inside": r.inside, "sent_beyond": r.beyond,
+        "served": r.served, "served_late": r.served_late, "refused": r.refused, "failed": r.failed,
+        "lost": r.lost, "left": r.left, "attempts": r.attempts,
+        "served_worth_share": share(r.worth_served, r.worth_asked),
+        "beyond_price": share(r.beyond_cost, r.worth_asked),
+        "beyond_worth_share": share(r.worth_beyond, r.worth_inside + r.worth_beyond),
+        "refused_with_room_share": share(r.refused_with_room, r.tries),
+        "refused_half_unused_share": share(r.refused_half_unused, r.tries),
+        "to_first_attempt_ms_p50": r.decided.get_value_at_percentile(50.0) / 1000.0,
+        "to_first_attempt_ms_p99": r.decided.get_value_at_percentile(99.0) / 1000.0,
+        "added_ms_p50": r.added.get_value_at_percentile(50.0) / 1000.0,
+        "added_ms_p99": r.added.get_value_at_percentile(99.0) / 1000.0,
+        "waited_for_call_share": share(r.waited, sent),
+        "counter_calls_per_try": share(counter.calls.total(), r.tries),
+        "counter_calls_per_first_try": share(counter.calls.total(), r.first_tries),
+        "counter_calls_by_plan": {
+            plan: share(counter.calls[plan], tries) for plan, tries in sorted(r.tries_by_plan.items())},
+        "counter_unanswered_share": share(counter.unanswered, counter.calls.total()),
+        "connections_per_try": share(r.connections, sent),
+        "connections_most_on_a_backend": max((b.most_connections for b in backends), default=0),
+        "busiest_backend_over_mean": share(max(loads, default=0.0), share(sum(loads), len(loads))),
+        "cold_load_of_budget_most": max(cold, default=0.0),
+        "customers_seen": len(world.accounts), "outcomes": dict(sorted(r.outcomes.items())),
+        "broken": dict(sorted(r.broken.items())),
+    }
--- /dev/null
+++ b/scale/world.py
@@ -0,0 +1,154 @@
+"""A world: the fleet of hollow gateways among their stand-ins, played from options and a seed."""
+
+from __future__ import annotations
+
+import gc
+from dataclasses import dataclass
+from random import Random
+
+import numpy as np
+
+from cobaltline import interface as io
+
+from . import backends as limits
+from .backends import Backend, Health
+from .clients import KINDS, MEAN_WORK_MS, MOST_UNITS, Clients, day_plans, table_plan
+from .clock import Clock
+from .counter import Counter
+from .discovery import Discovery
+from .hollow import HollowGateway
+from .links import Links
+from .oracle import Account
+from .record import Record, figures
+
+BEGIN_MS = 1_000_000.0  # the clock when a play begins; any value but 0, which means long ago in a list
+END_MS = 6000.0  # after the last arrival, until the last deadline has passed
+COUNTER_WAIT_MS = 50.0
+GC_OBJECTS = 200_000  # allocations between two collections: a play makes few cycles and much that lasts
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What a play is made of. The same options give the same record."""
+
+    gateways: int = 20
+    backends: int = 40
+    cores: int = 3
+    customers: int = 0  # 0: as many as the rate and the plans make
+    rate: float = 0.0  # first tries a second inside quotas; 0: as `load` says
+    load: float = 0.55  # asked inside quotas, as a share of what the backends can do
+    spread: tuple[int, int] = (6, 20)  # gateways of a customer's set, least and most
+    seconds: float = 20.0
+    seed: int = 1
+    zones: int = 2
+    regions: int = 1
+    mix: str = "calm"  # or "table": customers at 1.36 requests a second and a quarter of their quota
+    counter_per_try: float = 1.0  # calls that the counter bears for each first try inside quotas
+    counter_parts: int = 2
+    leave: float = 0.0  # share of the tries whose client goes within 0.2 s
+
+    @property
+    def rate_per_s(self) -> float:
+        """First tries a second, inside quotas."""
+        return self.rate or self.load * self.backends * self.cores * 1000.0 / MEAN_WORK_MS
+
+
+TABLE_PER_S = 1.36  # requests a second of a customer of the table
+
+
+class World:
+    """All parties of one play. `gateways` holds the present life of each."""
+
+    def __init__(self, options: Options, module=None):
+        o = self.options = options
+        self.begin = BEGIN_MS
+        self.clock, self.record = Clock(BEGIN_MS), Record()
+        draw, self.rng = np.random.default_rng(o.seed), Random(o.seed)
+        self.links = Links(o.zones, o.regions)
+        zones = self.links.zones
+        self.accounts: dict[int, Account] = {}
+        self.order = 0  # attempts so far
+        self._module = {} if module is None else {"module": module}
+        self.backends: dict[str, Backend] = {}
+        for number in range(o.backends):
+            self.add_backend(number, zones[number % o.zones])
+        self.counter = Counter(
+            self.clock, self.links, zones[0], o.counter_parts, max(1.0, o.counter_per_try * o.rate_per_s),
+            COUNTER_WAIT_MS)
+        self.discovery = Discovery(self.clock, self.links, zones[0], Random(o.seed + 1))
+        self.discovery.start(io.Backend(b.name, b.zone, "std-3c") for b in self.backends.values())
+        if o.mix == "table":
+            tariffs = table_plan(o.rate_per_s / o.customers if o.customers else TABLE_PER_S)
+        else:
+            tariffs = day_plans(draw)
+        self.gateways: list[HollowGateway] = []
+        self.clients = Clients(self, tariffs, draw, Random(o.seed + 2))
+        for number in range(o.gateways):
+            self.gateways.append(self._gateway(number))
+
+    # Parties.
+
+    def add_backend(self, number: int, zone: str) -> Backend:
+        name = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7070"
+        speed = self.rng.uniform(*limits.SPEED)
+        backend = Backend(self.clock, name, zone, self.options.cores, speed, MEAN_WORK_MS)
+        self.backends[name] = backend
+        return backend
+
+    def _gateway(self, number: int) -> HollowGateway:
+        zone = self.links.zones[number % self.options.zones]
+        found = HollowGateway(
+            self, number, zone, self._settings(number, zone), self.rng.getrandbits(48), **self._module)
+        self.discovery.join(found)
+        return found
+
+    def _settings(self, number: int, zone: str) -> io.Settings:
+        return io.Settings(
+            me=number, gateways=self.options.gateways, zone=zone, tick_ms=4.0,
+            classes={kind.io_class.name: kind.io_class for kind in KINDS}, plans=self.clients.plans,
+            counter=True, counter_wait_ms=COUNTER_WAIT_MS, counter_price=0.02, most_units=float(MOST_UNITS),
+            may_cancel=True, may_probe=True, may_advise=True, most_retry_after_ms=500.0, most_attempts=6,
+            connect_timeout_ms=limits.CONNECT_MS, answer_slack_ms=16.0, drain_grace_ms=2000.0,
+            cold_from=limits.COLD_FROM, cold_ms=limits.COLD_MS, fall_multiple=limits.FALL_MULTIPLE,
+            fall_ms=limits.FALL_MS, cross_zone_price=0.01, waste_price=0.08, late_fail_price=0.05,
+            probe_price=0.01, weights="rough")
+
+    def account(self, customer: int, plan: io.Plan) -> Account:
+        found = self.accounts.get(customer)
+        if found is None:
+            found = self.accounts[customer] = Account(plan, self.clock.now)
+        return found
+
+    # What may happen to them.
+
+    def stop(self, backend: Backend, health: Health) -> None:
+        """It dies or falls silent, and what it holds is told or not."""
+        for attempt in backend.stop(health):
+            self.gateways[attempt.trying.gateway].stopped(attempt, health)
+
+    def kill(self, number: int) -> None:
+        gateway = self.gateways[number]
+        self.discovery.leave(gateway)
+        gateway.kill()
+
+    def restart(self, number: int) -> None:
+        """A new life under the same number, which knows nothing."""
+        self.gateways[number] = self._gateway(number)
+
+    def play(self) -> dict:
+        """Let the day pass; its figures (`record.figures`)."""
+        before = gc.get_threshold()
+        gc.set_threshold(GC_OBJECTS, 20, 100)
+        try:
+            self.clock.run(BEGIN_MS + self.options.seconds * 1000.0 + END_MS)
+        finally:
+            gc.set_threshold(*before)
+        late = sum(gateway.unanswered() for gateway in self.gateways)
+        if late:
+            self.record.broken["never answered"] += late
+        return figures(self)
+
+
+def play(options: Options) -> dict:
+    """One day from its options."""
+    return World(options).play()
--- /dev/null
+++ b/tests/test_scale_hollow.py
@@ -0,0 +1,102 @@
+"""The hollow fleet: the same from the same seed, its oracle against hand-worked cases, and its checks."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from cobaltline import Gateway
+from cobaltline import interface as io
+from scale.oracle import Account
+from scale.world import Options, World
+
+SMALL = Options(gateways=4, backends=6, spread=(1, 4), seconds=2.0, leave=0.05)
+
+
+def test_the_same_options_give_the_same_record_whatever_the_order_of_hash_tables():
+    command = (
+        "import json; from tests.test_scale_hollow import SMALL, World;"
+        "print(json.dumps(World(SMALL).play()))")
+    found = [
+        subprocess.run(
+            [sys.executable, "-c", command], env={**os.environ, "PYTHONHASHSEED": seed}, check=True,
+            cwd=Path(__file__).parents[1], capture_output=True, text=True).stdout
+        for seed in ("1", "2")]
+    assert found[0] == found[1] and json.loads(found[0])["served"] > 100
+    assert json.loads(found[0])["broken"] == {}
+
+
+def test_a_try_is_inside_the_quota_while_the_store_holds_its_units():
+    account = Account(io.Plan("p", rate=2.0, burst=6.0), 0.0)
+    assert [account.sent(0.0, 4.0), account.sent(0.0, 3.0), account.sent(0.0, 2.0)] == [True, False, True]
+    assert not account.sent(499.0, 1.0) and account.sent(500.0, 1.0)  # what was beyond has taken nothing
+    assert account.room(2000.0, 3.0) == (True, False) and account.room(2000.0, 3.1) == (False, False)
+    assert account.room(60000.0, 3.0) == (True, True)  # never more than the burst
+    assert account.room(60000.0, 3.1) == (True, False)
+
+
+def test_a_try_is_beyond_the_quota_with_as_many_attempts_out_as_the_plan_allows():
+    account = Account(io.Plan("p", rate=2.0, burst=6.0, open_limit=2), 0.0)
+    account.out = 2
+    assert not account.sent(0.0, 1.0) and account.room(0.0, 1.0) == (False, False)
+    account.out = 1
+    assert account.room(0.0, 1.0) == (True, True) and account.sent(0.0, 6.0)
+
+
+def test_each_first_try_draws_on_the_ceiling_whether_it_is_inside_the_quota_or_not():
+    plan = io.Plan("p", rate=1.0, burst=4.0, ceiling_rate=2.0, ceiling_burst=8.0, ceiling_slack=3.0)
+    account = Account(plan, 0.0)
+    assert [account.over_ceiling(0.0, units) for units in (8.0, 3.0, 1.0)] == [False, False, True]
+    assert not account.over_ceiling(1000.0, 1.0)
+
+
+class Twice(Gateway):
+    """Answers once more after each refusal."""
+
+    def handle(self, now_ms, event):
+        acts = super().handle(now_ms, event)
+        return acts + [act for act in acts if isinstance(act, io.Reject)]
+
+
+class Deaf(Gateway):
+    """Sends on what it has refused."""
+
+    def handle(self, now_ms, event):
+        acts = super().handle(now_ms, event)
+        return acts + [
+            io.Send(act.request, self.usable[0].id) for act in acts if isinstance(act, io.Reject)]
+
+
+class Doubling(Gateway):
+    """Sends each request on twice at once."""
+
+    def handle(self, now_ms, event):
+        acts = super().handle(now_ms, event)
+        return [copy for act in acts for copy in ([act, act] if isinstance(act, io.Send) else [act])]
+
+
+class Dumb(Gateway):
+    """Answers nothing."""
+
+    def handle(self, now_ms, event):
+        return []
+
+
+class Retrying(Gateway):
+    """Refuses what it has sent on."""
+
+    def handle(self, now_ms, event):
+        acts = super().handle(now_ms, event)
+        return acts + [io.Reject(act.request) for act in acts if isinstance(act, io.Send)]
+
+
+@pytest.mark.parametrize("module, what", [
+    (Twice, "a second final answer"), (Deaf, "sent on after its end"), (Doubling, "two attempts at once"),
+    (Dumb, "never answered"), (Retrying, "refused what may have run")])
+def test_a_gateway_that_breaks_a_rule_is_noticed(module, what):
+    world = World(SMALL, module)
+    world.play()
+    assert world.record.broken[what] > 0
