Print every figure of the hollow tier with its slope, and what each fault does

The front now passes over a gateway that is down after 1.5 s; regions lie 15 ms apart, as 30 ms is more than the counter is waited for.

The real tier is taken in where its module is there.

--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -4,14 +4,18 @@
 
 import json
 import time
+from dataclasses import asdict, astuple
 from pathlib import Path
 
 import click
 
-from . import report
+from . import plays, report
+from .faults import FAULTS
+from .figure import Figure
 from .world import Options, play
 
 DEFAULTS = Options()
+REAL = "real"  # the name of the real tier's figures
 
 
 class Spread(click.ParamType):
@@ -73,6 +77,14 @@
               show_default=True)
 @click.option("--leave", type=click.FloatRange(0, 1), default=DEFAULTS.leave, show_default=True,
               help="Share of the tries whose client goes within 0.2 s.")
+@click.option("--fleet", type=click.IntRange(0, 4000), default=DEFAULTS.fleet, show_default=True,
+              help="Gateways that the settings tell of, where only a part is played; 0: as many as are.")
+@click.option("--fault", "faults", type=click.Choice(list(FAULTS)), multiple=True,
+              help="What goes wrong; may be given more than once.")
+@click.option("--fault-at", type=click.FloatRange(0), default=DEFAULTS.fault_at, show_default=True,
+              help="Seconds from the start.")
+@click.option("--fault-for", type=click.FloatRange(0), default=DEFAULTS.fault_for, show_default=True,
+              help="Seconds.")
 @click.option("--json", "file", type=click.Path(dir_okay=False, writable=True), help="Keep the record there.")
 def hollow(file: str | None, **options) -> None:
     """One play of a hollow fleet, and its record."""
@@ -85,5 +97,61 @@
     keep(file, {"options": options, "figures": found})
 
 
+def real_tier(short: bool) -> list[Figure]:
+    """The figures of real gateways on loopback. They need the gateway's own requirements too."""
+    try:
+        from . import real
+    except ImportError as error:
+        tell(f"no figures of the real tier: {error}")
+        return []
+    return real.figures(short, tell)
+
+
+@main.command()
+@click.option("--short", is_flag=True, help="Every figure at small sizes, in seconds.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--only", type=click.Choice([REAL, *(series.name for series in plays.SERIES)]), multiple=True,
+              help="Figures of that name alone; may be given more than once.")
+@click.option("--processes", type=click.IntRange(1, 64), default=plays.PROCESSES, show_default=True,
+              help="Plays side by side.")
+@click.option("--json", "file", type=click.Path(dir_okay=False, writable=True), help="Keep them there.")
+def figures(short: bool, seed: int, only: tuple[str, ...], processes: int, file: str | None) -> None:
+    """Every figure at several sizes, with how it grows: the slope is the power of the size (0 is flat, 1
+    grows as the size does), the residual what that leaves, in natural logarithms."""
+    began = time.monotonic()
+    found = real_tier(short) if not only or REAL in only else []
+    chosen = [series for series in plays.SERIES if not only or series.name in only]
+    found += plays.figures(chosen, seed, short, processes, tell)
+    tell(f"{len(found)} figures in {time.monotonic() - began:.0f} s")
+    click.echo(report.slopes(found))
+    keep(file, [figure.record() for figure in found])
+
+
+@main.command()
+@click.option("--gateways", type=click.IntRange(10, 4000), default=120, show_default=True)
+@click.option("--backends", type=click.IntRange(10, 120_000), default=120, show_default=True)
+@click.option("--seconds", type=click.FloatRange(16, 3600), default=30.0, show_default=True)
+@click.option("--fault-for", type=click.FloatRange(2), default=DEFAULTS.fault_for, show_default=True,
+              help="Seconds; each begins 6 s after the start.")
+@click.option("--counter-per-try", type=click.FloatRange(0.01), default=DEFAULTS.counter_per_try,
+              show_default=True, help="Calls that the counter bears for each first try inside quotas.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--only", type=click.Choice(list(FAULTS)), multiple=True, help="May be given more than once.")
+@click.option("--processes", type=click.IntRange(1, 64), default=plays.PROCESSES, show_default=True,
+              help="Plays side by side.")
+@click.option("--json", "file", type=click.Path(dir_okay=False, writable=True), help="Keep them there.")
+def faults(only: tuple[str, ...], processes: int, file: str | None, **options) -> None:
+    """Each fault on a calm day over 5 regions with 16 zones, beside the same day without it."""
+    if options["seconds"] < DEFAULTS.fault_at + options["fault_for"] + plays.SMOOTH:
+        raise click.BadParameter("the day ends before the fault is over", param_hint="--seconds")
+    day = Options(zones=16, regions=5, spread=(8, 30), **options)
+    found = plays.faults(only or FAULTS, day, processes, tell)
+    click.echo(report.table(
+        ("fault", "served before", "during", "worst 2 s", "lower for, s", "beyond during", "without it",
+         "lost", "cold fallen", "broken"),
+        [(*astuple(harm)[:-1], harm.broken) for harm in found]))
+    keep(file, [asdict(harm) for harm in found])
+
+
 if __name__ == "__main__":
     main(prog_name="python -m scale")
--- a/scale/backends.py
+++ b/scale/backends.py
@@ -44,8 +44,9 @@
         self._free = [0.0] * cores
         self._ends: list[float] = []
         self.held: set = set()  # attempts that wait for their answer
-        self._cold: deque[tuple[float, float]] = deque()  # what it was sent while cold: time, mean requests
-        self._cold_sum = 0.0
+        # What it was sent while cold: time, mean requests, and how much of these came from who knew.
+        self._cold: deque[tuple[float, float, float]] = deque()
+        self._cold_sum = self._cold_told = 0.0
         self.cold_load = 0.0  # the most of its budget that came within a span, as a share
 
     def warmth(self, now: float) -> float:
@@ -57,7 +58,7 @@
         """A new process: cold, with nothing from before."""
         self.started, self.health = self.clock.now, Health.UP
         self._cold.clear()
-        self._cold_sum = 0.0
+        self._cold_sum = self._cold_told = 0.0
 
     def stop(self, health: Health) -> list:
         """It dies or falls silent. What it held is handed back, to be told or not."""
@@ -67,23 +68,30 @@
         held, self.held = self.held, set()
         return sorted(held, key=lambda attempt: attempt.order)
 
-    def weigh(self, work_ms: float) -> bool:
-        """An attempt has reached it. Whether that pushes it over: a cold backend bears a budget of N mean
-        requests in a span, and 2 x root N + 2 more are put down to chance."""
+    def weigh(self, work_ms: float, told: bool) -> bool:
+        """An attempt has reached it, from a gateway that was told of its start or not. Whether it falls: it
+        bears N mean requests in a span while cold, and 2 x root N + 2 more are put down to chance."""
         now = self.clock.now
         self.attempts += 1
         if self.started <= 0 or now >= self.started + COLD_MS:
             return False
         share = work_ms / self._work_ms
-        self._cold.append((now, share))
+        self._cold.append((now, share, share * told))
         self._cold_sum += share
+        self._cold_told += share * told
         while self._cold[0][0] < now - FALL_MS:
-            self._cold_sum -= self._cold.popleft()[1]
+            _, old, old_told = self._cold.popleft()
+            self._cold_sum -= old
+            self._cold_told -= old_told
         per_ms = self.cores * self.speed * self.warmth(now) / self._work_ms
         budget = FALL_MULTIPLE * per_ms * FALL_MS
         self.cold_load = max(self.cold_load, self._cold_sum / budget)
         return self._cold_sum > budget + 2.0 * math.sqrt(budget) + 2.0
 
+    def told_share(self) -> float:
+        """How much of what it was sent in the span came from gateways that had been told of its start."""
+        return self._cold_told / self._cold_sum
+
     def serve(self, work_ms: float) -> float | None:
         """When the answer to this leaves; None: turned away, there is no room."""
         now = self.clock.now
--- a/scale/clients.py
+++ b/scale/clients.py
@@ -21,6 +21,7 @@
 RETRIES = 2  # further tries of one request
 BACKOFF_MS = (25.0, 200.0)  # before the first of them; doubles
 HONOUR = 0.5  # of the clients wait as long as `Retry-After` says
+NOTICE_MS = 1500.0  # until the front has seen that a gateway is down; the site draws 0.86 to 3.4 s
 ELSEWHERE = 0.3  # of the further tries come in at another gateway of the set
 
 
@@ -70,9 +71,10 @@
 
 
 def table_plan(requests_per_s: float) -> tuple[Tariff, ...]:
-    """One plan for customers that use a quarter of it, at one unit a request and a burst of two seconds."""
+    """One plan for customers that use a quarter of it, at one unit a request and a burst of two seconds
+    (two units at least)."""
     rate = 4.0 * requests_per_s
-    return (Tariff(io.Plan("table", rate, 2.0 * rate, overrun_cost=0.6), 1.0),)
+    return (Tariff(io.Plan("table", rate, max(2.0, 2.0 * rate), overrun_cost=0.6), 1.0),)
 
 
 class Try:
@@ -153,7 +155,9 @@
             base = len(self._plan)
             spikes += [(base + int(n), plan.rate / units) for n in np.flatnonzero(habit == 1)]
             self._plan += [plan] * count
-            self._first += draw.integers(0, o.gateways, count).tolist()
+            # Where only a part of the fleet is played, no set lies across its end.
+            firsts = o.gateways - spread + 1 if o.fleet else np.full(count, o.gateways)
+            self._first += draw.integers(0, firsts).tolist()
             self._spread += spread.tolist()
             self._rate += (use * plan.rate / units).tolist()
         self._spikes = spikes
@@ -217,7 +221,7 @@
         w.record.first_tries += 1
         if t.inside:
             w.record.worth_asked += t.worth
-            w.record.second(int((now - w.begin) / 1000.0)).asked += t.worth
+            w.second(now).asked += t.worth
         self._go(t, self._gateway[number])
 
     def _go(self, t: Try, gateway: int) -> None:
@@ -226,13 +230,23 @@
         w.record.tries_by_plan[plan.name] += 1
         if self._leave and self._rng.random() < self._leave:
             w.clock.at(w.clock.now + self._rng.uniform(0.0, 200.0), self._go_away, t)
-        t.gateway = gateway
+        t.gateway = gateway = self._front(t.customer, gateway)
         event = io.RequestArrived(
             t.request, self._key[t.customer], plan.name, KINDS[t.kind].io_class.name, t.deadline, t.units,
             self._first[t.customer], self._spread[t.customer])
         if not w.gateways[gateway].take(t, event):
             self.ended(t, "unreachable")
 
+    def _front(self, customer: int, gateway: int) -> int:
+        """Where the front sees a gateway down, the next of the customer's set that it does not."""
+        w = self._world
+        first, spread, count = self._first[customer], self._spread[customer], w.options.gateways
+        for turn in range(spread):
+            found = (first + (gateway - first + turn) % count % spread) % count
+            if w.gateways[found].died > w.clock.now - NOTICE_MS:
+                return found
+        return gateway
+
     def _go_away(self, t: Try) -> None:
         if not t.done:
             self._world.gateways[t.gateway].leave(t)
@@ -249,7 +263,7 @@
                 w.record.served_late += 1
             elif t.inside:
                 w.record.worth_served += t.worth
-                w.record.second(int((t.first_at - w.begin) / 1000.0)).served += t.worth
+                w.second(t.first_at).served += t.worth
             return
         safe = KINDS[t.kind].io_class.repeat is io.Repeat.SAFE
         if t.number >= RETRIES or not safe and how not in ("refused", "unreachable"):
--- a/scale/counter.py
+++ b/scale/counter.py
@@ -28,6 +28,7 @@
         self._numbers: dict[str, list] = {}  # total, when it is forgotten
         self.slow, self.gone = 1.0, False
         self.calls: Counts[str] = Counts()  # by the plan they were made for
+        self.most_names = 0  # held at once
         self.unanswered = 0  # timed out, turned away or not reached
         clock.at(clock.now + SWEEP_MS, self._sweep)
 
@@ -62,6 +63,7 @@
         number = self._numbers.get(ask.name)
         if number is None or number[1] <= now:
             number = self._numbers[ask.name] = [0.0, now + ask.ttl_ms]
+            self.most_names = max(self.most_names, len(self._numbers))
         number[0] += ask.amount
         took = done + link_ms - sent
         if took > self._wait_ms:
--- a/scale/discovery.py
+++ b/scale/discovery.py
@@ -21,6 +21,7 @@
         self.entries: dict[str, io.Backend] = {}
         self.version = 1
         self.down = False
+        self.most_late_ms = 0.0  # the longest that a change took to reach a gateway
         self._told: dict = {}  # gateway in its present life -> version that it has
         self._due: dict = {}  # gateway -> time of the last list on its way, so that none overtakes another
         self._behind: dict = {}  # gateways that missed a change
@@ -53,6 +54,7 @@
                 self._behind[gateway] = True
             else:
                 self._on_the_way(gateway, event)
+                self.most_late_ms = max(self.most_late_ms, self._due[gateway] - self._clock.now)
 
     def catch_up(self) -> None:
         """Discovery, or the link to it, is back: who missed anything gets the whole list."""
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -17,6 +17,7 @@
 
 SWEEP_MS = 1000.0  # between two looks for idle connections (as `elderhub.backends`)
 ERRORS = 0.001  # of the answers; the site draws 0 to 0.002
+FALL_TOLD = 2.0 / 3.0  # of what pushed a backend over, from gateways told of its start: a rule is broken
 SOCKETS_MS = 50.0  # the protocol page: on sockets every time limit is so much longer
 
 
@@ -37,11 +38,13 @@
     def __init__(self, world, number: int, zone: str, settings: io.Settings, seed: int, module=Gateway):
         self.world, self.number, self.zone = world, number, zone
         self.settings, self.dead = settings, False
+        self.died = math.inf  # when
         self._module = module(settings, seed)
         self._open: dict[str, Try] = {}
         self._pools: dict[str, Pool] = {}
         self._attempts: dict[tuple[str, int], Attempt] = {}
         self._left_at: dict[str, float] = {}  # backends that drain or are gone: since when it was told
+        self._started: dict[str, float] = {}  # of backends that are young, as it was told
         self._plan_of: dict[str, str] = {}  # of counter names
         self._event = None  # that is being handled
         self._do = {
@@ -81,6 +84,8 @@
             for gone in [name for name in self._pools if name not in named]:
                 self._left_at.setdefault(gone, now)
         for entry in event.backends:
+            if entry.started_ms > 0.0:
+                self._started[entry.id] = entry.started_ms
             if entry.state is io.BackendState.UP:
                 self._left_at.pop(entry.id, None)
             else:
@@ -178,8 +183,9 @@
         else:
             w.record.beyond += 1
             w.record.worth_beyond += t.worth
-            w.record.beyond_cost += t.worth * account.plan.overrun_cost
-            w.record.second(int((now - w.begin) / 1000.0)).beyond += t.worth
+            cost = t.worth * account.plan.overrun_cost
+            w.record.beyond_cost += cost
+            w.second(now).beyond += cost
 
     def _connect(self, attempt: Attempt, now: float) -> float | None:
         """Bring it on a connection; when that is ready, or None if it never is."""
@@ -213,8 +219,11 @@
         if backend.health is Health.SILENT or not w.links.reach(self.zone, backend.zone):
             self._unheard(attempt)
             return
-        if backend.weigh(attempt.trying.work_ms):
-            self._broken("a cold backend pushed over")
+        told = self._started.get(backend.name, 0.0) >= backend.started
+        if backend.weigh(attempt.trying.work_ms, told):
+            w.record.fallen += 1
+            if backend.told_share() > FALL_TOLD:
+                self._broken("a cold backend pushed over")
             w.stop(backend, Health.DEAD)
         done = None if backend.health is Health.DEAD else backend.serve(attempt.trying.work_ms)
         if done is None:
@@ -321,8 +330,8 @@
 
     def kill(self) -> None:
         """The process dies: its connections are reset, and its requests lost, unless clients come again."""
-        self.dead = True
         now = self.world.clock.now
+        self.dead, self.died = True, now
         for attempt in list(self._attempts.values()):
             self._ended(attempt, io.Outcome.RESET)
         for pool in self._pools.values():
--- a/scale/links.py
+++ b/scale/links.py
@@ -4,7 +4,7 @@
 
 SAME_MS = 0.2  # one way inside a zone; the site draws 0.08 to 0.35
 ZONE_MS = 2.0  # between zones of a region; the site draws 1.4 to 2.6
-REGION_MS = 30.0  # between regions: a continent's breadth
+REGION_MS = 15.0  # between regions, some thousand km of fibre apart
 
 
 class Links:
--- a/scale/record.py
+++ b/scale/record.py
@@ -18,11 +18,11 @@
 
 @dataclass(slots=True)
 class Second:
-    """What was asked in one second of the play, and what became of it. All of it is worth."""
+    """What was asked in one second of the play, and what became of it, in worth."""
 
     asked: float = 0.0  # inside the quotas, by first tries
-    served: float = 0.0  # inside the quotas, in time
-    beyond: float = 0.0  # sent on beyond the quotas
+    served: float = 0.0  # of that, within the aim
+    beyond: float = 0.0  # cost of what was sent on beyond the quotas
 
 
 @dataclass(slots=True)
@@ -49,25 +49,26 @@
     worth_served: float = 0.0  # inside the quotas, within the aim
     attempts: int = 0
     connections: int = 0  # opened
+    fallen: int = 0  # cold backends pushed over
     logs: int = 0
     tries_by_plan: Counts[str] = field(default_factory=Counts)
     broken: Counts[str] = field(default_factory=Counts)
     outcomes: Counts[str] = field(default_factory=Counts)
     decided: HdrHistogram = field(default_factory=histogram)  # arrival to the first attempt
     added: HdrHistogram = field(default_factory=histogram)  # and until its connection was ready
-    seconds: dict[int, Second] = field(default_factory=dict)
-
-    def second(self, number: int) -> Second:
-        found = self.seconds.get(number)
-        if found is None:
-            found = self.seconds[number] = Second()
-        return found
+    seconds: list[Second] = field(default_factory=list)
 
 
 def share(part: float, whole: float) -> float:
     return part / whole if whole else 0.0
 
 
+def _ms(times: HdrHistogram, percentile: float) -> float:
+    """0 where it happened at once: the histogram's least value is 1."""
+    found = times.get_value_at_percentile(percentile)
+    return found / 1000.0 if found > 1 else 0.0
+
+
 def figures(world) -> dict[str, float | int | dict]:
     """The record of a play that is over, as plain numbers: what a table or JSON shows, and tests compare."""
     r: Record = world.record
@@ -85,19 +86,21 @@
         "beyond_worth_share": share(r.worth_beyond, r.worth_inside + r.worth_beyond),
         "refused_with_room_share": share(r.refused_with_room, r.tries),
         "refused_half_unused_share": share(r.refused_half_unused, r.tries),
-        "to_first_attempt_ms_p50": r.decided.get_value_at_percentile(50.0) / 1000.0,
-        "to_first_attempt_ms_p99": r.decided.get_value_at_percentile(99.0) / 1000.0,
-        "added_ms_p50": r.added.get_value_at_percentile(50.0) / 1000.0,
-        "added_ms_p99": r.added.get_value_at_percentile(99.0) / 1000.0,
+        "to_first_attempt_ms_p50": _ms(r.decided, 50.0),
+        "to_first_attempt_ms_p99": _ms(r.decided, 99.0),
+        "added_ms_p50": _ms(r.added, 50.0),
+        "added_ms_p99": _ms(r.added, 99.0),
         "waited_for_call_share": share(r.waited, sent),
         "counter_calls_per_try": share(counter.calls.total(), r.tries),
         "counter_calls_per_first_try": share(counter.calls.total(), r.first_tries),
         "counter_calls_by_plan": {
             plan: share(counter.calls[plan], tries) for plan, tries in sorted(r.tries_by_plan.items())},
         "counter_unanswered_share": share(counter.unanswered, counter.calls.total()),
+        "counter_names_most": counter.most_names,
         "connections_per_try": share(r.connections, sent),
         "connections_most_on_a_backend": max((b.most_connections for b in backends), default=0),
         "busiest_backend_over_mean": share(max(loads, default=0.0), share(sum(loads), len(loads))),
+        "cold_backends_fallen": r.fallen, "changes_in_force_ms": world.discovery.most_late_ms,
         "cold_load_of_budget_most": max(cold, default=0.0),
         "customers_seen": len(world.accounts), "outcomes": dict(sorted(r.outcomes.items())),
         "broken": dict(sorted(r.broken.items())),
--- a/scale/world.py
+++ b/scale/world.py
@@ -16,10 +16,11 @@
 from .clock import Clock
 from .counter import Counter
 from .discovery import Discovery
+from .faults import FAULTS
 from .hollow import HollowGateway
 from .links import Links
 from .oracle import Account
-from .record import Record, figures
+from .record import Record, Second, figures
 
 BEGIN_MS = 1_000_000.0  # the clock when a play begins; any value but 0, which means long ago in a list
 END_MS = 6000.0  # after the last arrival, until the last deadline has passed
@@ -46,6 +47,10 @@
     counter_per_try: float = 1.0  # calls that the counter bears for each first try inside quotas
     counter_parts: int = 2
     leave: float = 0.0  # share of the tries whose client goes within 0.2 s
+    fleet: int = 0  # gateways that the settings tell of, where only some are played; 0: as many as are
+    faults: tuple[str, ...] = ()  # of `scale.faults`
+    fault_at: float = 6.0  # seconds from the start
+    fault_for: float = 6.0
 
     @property
     def rate_per_s(self) -> float:
@@ -76,7 +81,7 @@
             self.clock, self.links, zones[0], o.counter_parts, max(1.0, o.counter_per_try * o.rate_per_s),
             COUNTER_WAIT_MS)
         self.discovery = Discovery(self.clock, self.links, zones[0], Random(o.seed + 1))
-        self.discovery.start(io.Backend(b.name, b.zone, "std-3c") for b in self.backends.values())
+        self.discovery.start(map(self.entry, self.backends.values()))
         if o.mix == "table":
             tariffs = table_plan(o.rate_per_s / o.customers if o.customers else TABLE_PER_S)
         else:
@@ -85,6 +90,8 @@
         self.clients = Clients(self, tariffs, draw, Random(o.seed + 2))
         for number in range(o.gateways):
             self.gateways.append(self._gateway(number))
+        for fault in o.faults:
+            self.clock.at(BEGIN_MS + o.fault_at * 1000.0, FAULTS[fault].call, self, o.fault_for * 1000.0)
 
     # Parties.
 
@@ -95,6 +102,10 @@
         self.backends[name] = backend
         return backend
 
+    def entry(self, backend: Backend, state: io.BackendState = io.BackendState.UP) -> io.Backend:
+        """As the list has it."""
+        return io.Backend(backend.name, backend.zone, "std-3c", state=state, started_ms=backend.started)
+
     def _gateway(self, number: int) -> HollowGateway:
         zone = self.links.zones[number % self.options.zones]
         found = HollowGateway(
@@ -104,7 +115,7 @@
 
     def _settings(self, number: int, zone: str) -> io.Settings:
         return io.Settings(
-            me=number, gateways=self.options.gateways, zone=zone, tick_ms=4.0,
+            me=number, gateways=self.options.fleet or self.options.gateways, zone=zone, tick_ms=4.0,
             classes={kind.io_class.name: kind.io_class for kind in KINDS}, plans=self.clients.plans,
             counter=True, counter_wait_ms=COUNTER_WAIT_MS, counter_price=0.02, most_units=float(MOST_UNITS),
             may_cancel=True, may_probe=True, may_advise=True, most_retry_after_ms=500.0, most_attempts=6,
@@ -113,6 +124,13 @@
             fall_ms=limits.FALL_MS, cross_zone_price=0.01, waste_price=0.08, late_fail_price=0.05,
             probe_price=0.01, weights="rough")
 
+    def second(self, at_ms: float) -> Second:
+        """The second of the play that this time lies in."""
+        number, seconds = int((at_ms - BEGIN_MS) / 1000.0), self.record.seconds
+        while len(seconds) <= number:
+            seconds.append(Second())
+        return seconds[number]
+
     def account(self, customer: int, plan: io.Plan) -> Account:
         found = self.accounts.get(customer)
         if found is None:
