--- a/scale/clients.py
+++ b/scale/clients.py
@@ -11,6 +11,7 @@
 
 # A day's classes and plans, within the ranges of the site that the bench plays.
 MOST_UNITS = 8
+TABLE_PER_S = 1.36  # requests a second of a customer of the table
 UNITS_A_MEAN = 1.7  # units of a request of mean work, before they are rounded and bounded
 CALM_USE, FULL_USE = (0.16, 0.4), (0.85, 1.0)  # of the rate, asked all day
 HEAVY_USE, SPIKE_USE = (1.9, 4.3), (3.7, 7.7)
@@ -70,11 +71,10 @@
     return tuple(found)
 
 
-def table_plan(requests_per_s: float) -> tuple[Tariff, ...]:
-    """One plan for customers that use a quarter of it, at one unit a request and a burst of two seconds
-    (two units at least)."""
-    rate = 4.0 * requests_per_s
-    return (Tariff(io.Plan("table", rate, max(2.0, 2.0 * rate), overrun_cost=0.6), 1.0),)
+def table_plan() -> tuple[Tariff, ...]:
+    """One plan for customers that use a quarter of it, at one unit a request and a burst of two seconds."""
+    rate = 4.0 * TABLE_PER_S
+    return (Tariff(io.Plan("table", rate, 2.0 * rate, overrun_cost=0.6), 1.0),)
 
 
 class Try:
@@ -131,12 +131,14 @@
         inside = np.dot(odds, [0.28, 0.4, 1.0, 0.92]) if habits else 0.25
         asked = o.rate_per_s * units
         counts = [max(1, round(asked * t.share / (t.plan.rate * inside))) for t in tariffs]
-        if o.customers:  # as many as told: quotas are larger or smaller, their use is as it was
+        if o.customers and not habits:  # as many as told, who use more or less of the same quota
+            counts = [o.customers]
+        elif o.customers:  # whose quotas are larger or smaller, and their use as it was
             factor = sum(counts) / o.customers
             counts = [max(1, round(count / factor)) for count in counts]
             tariffs = tuple(
                 replace(t, plan=replace(t.plan, rate=t.plan.rate * factor, burst=max(
-                    2.0 * MOST_UNITS if habits else 2.0, t.plan.burst * factor))) for t in tariffs)
+                    2.0 * MOST_UNITS, t.plan.burst * factor))) for t in tariffs)
         self.plans = {t.plan.name: t.plan for t in tariffs}
         self._plan, self._first, self._spread, self._rate, spikes = [], [], [], [], []
         low, high = o.spread
@@ -151,7 +153,7 @@
                 draw.uniform(*CALM_USE, count), draw.uniform(*CALM_USE, count),
                 draw.uniform(*HEAVY_USE, count), draw.uniform(*FULL_USE, count)])
             if not habits:
-                use = np.full(count, 0.25)
+                use = np.full(count, asked / count / plan.rate)
             base = len(self._plan)
             spikes += [(base + int(n), plan.rate / units) for n in np.flatnonzero(habit == 1)]
             self._plan += [plan] * count
--- a/scale/plays.py
+++ b/scale/plays.py
@@ -136,7 +136,7 @@
     Series("sets", "gateways in a set", (2, 4, 8, 16, 32), (2, 4, 6, 8),
            "customers at 1.36 requests a second and a quarter of their quota", sets, COUNTED),
     Series("customers", "customers", (1000, 5000, 30_000, 140_000), (200, 400, 800, 1600),
-           "customers that together ask 976 requests a second of 16 gateways, in sets of 8",
+           "customers of the table's quota, in sets of 8, that all together ask 976 requests a second",
            customers, (*COUNTED[:2], Value("counter names held", "names", "counter_names_most"))),
     Series("regions", "regions", (1, 2, 3, 5), (1, 2, 3, 5),
            "customers of the table in sets of 8 over 15 zones, 15 ms one way between regions", regions,
@@ -229,7 +229,8 @@
     record = played["figures"]
     harmed = [second for second, served, usual in windows if served < usual - HARM]
     return Harm(
-        fault, _over(mine, 0, at - SMOOTH, 1), _over(mine, at, end, 1), min(served for _, served, _ in windows),
+        fault, _over(mine, 0, at - SMOOTH, 1), _over(mine, at, end, 1),
+        min(served for _, served, _ in windows),
         float(harmed[-1] + SMOOTH - at) if harmed else 0.0, _over(mine, at, end, 2),
         _over(without, at, end, 2), record["lost"], record["cold_backends_fallen"], record["broken"])
 
--- a/scale/world.py
+++ b/scale/world.py
@@ -58,8 +58,6 @@
         return self.rate or self.load * self.backends * self.cores * 1000.0 / MEAN_WORK_MS
 
 
-TABLE_PER_S = 1.36  # requests a second of a customer of the table
-
 
 class World:
     """All parties of one play. `gateways` holds the present life of each."""
@@ -83,7 +81,7 @@
         self.discovery = Discovery(self.clock, self.links, zones[0], Random(o.seed + 1))
         self.discovery.start(map(self.entry, self.backends.values()))
         if o.mix == "table":
-            tariffs = table_plan(o.rate_per_s / o.customers if o.customers else TABLE_PER_S)
+            tariffs = table_plan()
         else:
             tariffs = day_plans(draw)
         self.gateways: list[HollowGateway] = []
