--- a/scale/world.py
+++ b/scale/world.py
@@ -58,7 +58,6 @@
         return self.rate or self.load * self.backends * self.cores * 1000.0 / MEAN_WORK_MS
 
 
-
 class World:
     """All parties of one play. `gateways` holds the present life of each."""
 
