--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -66,6 +66,8 @@
 @click.option("--spread", type=Spread(), default=DEFAULTS.spread, show_default="6-20",
               help="Gateways in a customer's set.")
 @click.option("--seconds", type=click.FloatRange(0.1, 3600), default=DEFAULTS.seconds, show_default=True)
+@click.option("--warm-up", type=click.FloatRange(0), default=DEFAULTS.warm_up, show_default=True,
+              help="Seconds of these at the start of which nothing but broken rules is kept.")
 @click.option("--seed", type=click.IntRange(0), default=DEFAULTS.seed, show_default=True)
 @click.option("--zones", type=click.IntRange(1, 64), default=DEFAULTS.zones, show_default=True)
 @click.option("--regions", type=click.IntRange(1, 16), default=DEFAULTS.regions, show_default=True)
@@ -90,6 +92,8 @@
     """One play of a hollow fleet, and its record."""
     if options["regions"] > options["zones"]:
         raise click.BadParameter("there are no more regions than zones", param_hint="--regions")
+    if options["warm_up"] >= options["seconds"]:
+        raise click.BadParameter("the play is over by then", param_hint="--warm-up")
     began = time.monotonic()
     found = play(Options(**options))
     tell(f"played {options['seconds']:g} s in {time.monotonic() - began:.1f} s")
--- a/scale/counter.py
+++ b/scale/counter.py
@@ -72,6 +72,11 @@
             result = io.CountResult(ask.name, io.Outcome.OK, float(f"{number[0]:.7g}"), took)
             self._clock.at(done + link_ms, answer, result)
 
+    def begin_record(self) -> None:
+        """Count from now on what `calls` and `unanswered` tell."""
+        self.calls.clear()
+        self.unanswered = 0
+
     def empty(self) -> None:
         """It stands elsewhere now, and knows nothing."""
         self._numbers.clear()
--- a/scale/world.py
+++ b/scale/world.py
@@ -40,6 +40,7 @@
     load: float = 0.55  # asked inside quotas, as a share of what the backends can do
     spread: tuple[int, int] = (6, 20)  # gateways of a customer's set, least and most
     seconds: float = 20.0
+    warm_up: float = 0.0  # seconds at the start of which nothing but broken rules is kept
     seed: int = 1
     zones: int = 2
     regions: int = 1
@@ -87,6 +88,8 @@
         self.clients = Clients(self, tariffs, draw, Random(o.seed + 2))
         for number in range(o.gateways):
             self.gateways.append(self._gateway(number))
+        if o.warm_up:
+            self.clock.at(BEGIN_MS + o.warm_up * 1000.0, self._begin_record)
         for fault in o.faults:
             self.clock.at(BEGIN_MS + o.fault_at * 1000.0, FAULTS[fault].call, self, o.fault_for * 1000.0)
 
@@ -121,6 +124,12 @@
             fall_ms=limits.FALL_MS, cross_zone_price=0.01, waste_price=0.08, late_fail_price=0.05,
             probe_price=0.01, weights="rough")
 
+    def _begin_record(self) -> None:
+        self.record = Record(broken=self.record.broken)
+        self.counter.begin_record()
+        for backend in self.backends.values():
+            backend.busy_ms = 0.0
+
     def second(self, at_ms: float) -> Second:
         """The second of the play that this time lies in."""
         number, seconds = int((at_ms - BEGIN_MS) / 1000.0), self.record.seconds
