--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -27,9 +27,9 @@
 SLOW_SHARE = 0.5  # of the time that a call may take: an answer after more of it shows a long line
 CALL_SIZES = 4.0  # a small request waits for a call as long as so many spacings at most, a large one less
 SCARCE_SHARE = 0.5  # of its store: while calls are scarce, who was found short is asked about again with that
-DOUBT_PART = 0.1  # of the price of a call, as some requests are let in before it tells
+DOUBT_PART = 0.03  # of the price of a call, as some requests are let in before it tells
 DOUBT = 0.05  # share of what is trusted that is taken to find no room, before anything is known
-UNCOUNTED_MOST = 5  # requests let in on trust before a call counts them
+UNCOUNTED_MOST = 8  # requests let in on trust before a call counts them
 COST_WEIGHT = 0.02  # of one request in the mean cost, and of one borrow in the share that was found short
 RTO_DEVS = 4.0  # deviations above the mean latency before an answer is missed (as TCP does)
 HEDGE_SHARE = 0.1  # further attempts a request may cost on average
@@ -51,6 +51,7 @@
 FLEET_STEP = 0.1  # how far the limit on own attempts out moves at most in one mean latency
 STALL_MS = 100.0  # an alarm later than this shows that the gateway itself stood still
 IDLE_MS = 10000.0  # customers unseen this long are dropped
+KEEP_MS = 120000.0  # but those whose store was well filled: a gateway of a large set sees one seldom
 RESUBSCRIBE_MS = 2500.0  # after a failed call for lists, at most: a change counts as told 6 s after its time
 
 
@@ -230,10 +231,11 @@
         a request, doubt decides: trust may cost no more by what then finds no room than it saves in calls."""
         if not b.filled or b.quick > 1 or self.gap > 4.0 * GAP_FIRST_MS:
             return False
-        if b.owed + cost <= TRUST_SHARE * b.level * b.part:
+        asked = b.owed + cost
+        if asked <= TRUST_SHARE * b.level * b.part:
             return True
         worth_it = self.doubt * b.plan.overrun_cost <= DOUBT_PART * self.s.counter_price
-        return b.thin and b.uncounted < UNCOUNTED_MOST and worth_it
+        return worth_it and b.uncounted < UNCOUNTED_MOST and asked <= TRUST_SHARE * b.level
 
     def granted(self, now: float, req: Request | Ask) -> None:
         """Inside the rate. Where the plan limits attempts out, it may have to wait for one to end."""
@@ -717,7 +719,7 @@
         self.at(now + IDLE_MS, self.sweep, None)
         self.buckets = {
             key: b for key, b in self.buckets.items()
-            if now - b.touched <= (NAME_LIFE_MS if b.filled else max(IDLE_MS, 2 * b.fill_ms))
+            if now - b.touched <= (KEEP_MS if b.filled else max(IDLE_MS, 2 * b.fill_ms))
             or b.pending or b.open or b.waiting or b.gate}
         self.fleet.sweep()
         self.notes = {key: x for key, x in self.notes.items() if not key[1] or key[1] in self.servers}
