--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -41,8 +41,10 @@
 CROSS_MALUS = 1.15  # a backend across zones counts as so much slower, where crossing has a price
 SAMPLE = 24  # backends all weighed for a choice; where there are more, own attempts tell too little of each
 CHOICES = 6  # and so many are drawn by their present capacity: 4 and 6 measured, fewer open more connections
-KNOWN_SHARE = 0.75  # of the backends known of late: over so many at least the load of cold ones is worked out
-CAPACITY_WEIGHT = 0.02  # of one backend that was drawn, in the mean present capacity of all
+# The load of cold backends is worked out over so many of those usable of late, over the multiple that pushes
+# one over, at least: few that are left can't bear at once what many did.
+KNOWN_SHARE = 1.5
+CAPACITY_WEIGHT = 0.02  # of one backend that was drawn, in the mean present capacity and the number of all
 TARGET_AIM = 0.32  # latency, as a share of the aim, above which backends count as crowded
 FLEET_FIRST = 2.0  # attempts out for each backend, all gateways together, before anything is known
 HOLD_ODDS = 1.5  # a wait is worth it while so many times its expected length still leaves time to be served
@@ -129,6 +131,7 @@
         self.servers: dict[str, Server] = self.fleet.all
         self.usable: list[Server] = self.fleet.usable
         self.capacity = 1.0  # the mean present capacity of the usable ones, as a part of the heaviest
+        self.known = 0.0  # how many were usable, as a running mean over requests
         self.calls: dict[str, deque] = {}
         self.ready: list[tuple[float, int, Request]] = []
         self.alarms: list[tuple[float, int, object, object]] = []
@@ -463,6 +466,8 @@
             (self.fleet.enlist if entry.state is BackendState.UP else self.fleet.retire)(server)
         if e.kind is io.ListKind.CHANGES and self.send_rate <= 0.0:  # the first list may come in parts
             self.limit = max(self.limit, FLEET_FIRST * len(self.usable) / max(1, self.s.gateways))
+        if self.send_rate <= 0.0:
+            self.known = len(self.usable)
         self.pump(now)
 
     def subscribe(self, now: float, _arg) -> None:
@@ -477,10 +482,14 @@
         x.latency, x.latency_at = min(most, max(2.0 * x.expected(now, self.mean), least)), now
         self.note(now, "avoided", x.latency == most, x.id)
 
+    def borne(self) -> float:
+        """Over how many backends at least the load of cold ones is worked out."""
+        return min(1.0, KNOWN_SHARE / max(self.s.fall_multiple, 1e-3)) * self.known
+
     def warm(self, now: float, x: Server, warmth: float) -> bool:
         """Slow start: a cold backend gets its cold share of what a warm one gets from this gateway."""
         # Where most of the others have gone, the rest can bear no more for that.
-        rate = self.send_rate / max(1.0, len(self.usable), KNOWN_SHARE * len(self.servers)) * warmth
+        rate = self.send_rate / max(1.0, len(self.usable), self.borne()) * warmth
         x.cold_tokens, x.cold_at = min(1.5, x.cold_tokens + rate * (now - x.cold_at)), now
         return x.cold_tokens >= 1.0
 
@@ -491,7 +500,7 @@
         the whole fleet where the others fail."""
         found: list[Server] = []
         first, req.drawn = not req.drawn, True
-        chance = len(self.usable) / max(self.capacity * len(self.usable), KNOWN_SHARE * len(self.servers))
+        chance = len(self.usable) / max(self.capacity * len(self.usable), self.borne())
         for _ in range(SAMPLE):
             x = self.usable[int(self.rng.random() * len(self.usable))]
             warmth = x.warmth(now, self.s)
@@ -570,6 +579,7 @@
             self.retry_tokens = min(HEDGE_BURST, self.retry_tokens + HEDGE_SHARE)
             rate = self.send_rate * 0.5 ** ((now - self.rate_at) / MEMORY_MS)
             self.send_rate, self.rate_at = rate + 0.693 / MEMORY_MS, now
+            self.known += CAPACITY_WEIGHT * (len(self.usable) - self.known)
         req.attempts.append(attempt)
         key = (req.id, attempt.no)
         self.flights[key] = (attempt, req)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -148,3 +148,17 @@
 def test_cold_backends_hold_whatever_their_settings_when_all_others_refuse(span_ms, cold_from, multiple):
     fleet = scene("all refuse", 1, 30, 8.0, 10, 40, span_ms, cold_from, multiple)
     assert fleet.worst <= 1.0 and fleet.cold_sent > 100
+
+
+def test_where_most_backends_are_replaced_the_cold_ones_get_as_much_as_their_capacity_is_worth():
+    # Six in ten leave as others join in their place: the list is as long as before, and its capacity less.
+    fleet = Fleet(30, 4.0, 50, cold_from=0.3, fall_multiple=3.0, fall_ms=3000.0, cold_ms=18000.0)
+    fleet.play(12)
+    fleet.join(30, fleet.now)
+    fleet.leave([f"w{k}" for k in range(30)])
+    before, cold = fleet.sent, fleet.cold_sent
+    fleet.play(4)
+    share = (fleet.cold_sent - cold) / (fleet.sent - before)
+    warmth = 0.3 + 0.7 * 2.0 / 18.0  # half-way
+    assert share > 0.75 * 30 * warmth / (20 + 30 * warmth)
+    assert fleet.worst <= 1.0
