--- a/cobaltline/quota.py
+++ b/cobaltline/quota.py
@@ -44,7 +44,7 @@
 PACE_WEIGHT = 0.1  # of one gap in the mean between a customer's requests here
 SHORT_FILLS = 2.0  # times that its store fills in: so long a customer found short counts as beyond its quota
 HOMES = 3  # gateways of a customer's set that may be its home, in turn while one does not answer
-BLIND_ODDS = 7.0  # how much more what is let in unasked has to be likely than what it may cost
+BLIND_ODDS = 6.0  # how much more what is let in unasked has to be likely than what it may cost
 BLIND_SIZE = 1.5  # power of a request's size in that: a large one fits less often, and costs more where not
 
 
