--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -24,7 +24,8 @@
 GAP_MOST_MS = 800.0  # and at most this, so that a counter that is back is found within a second
 GAP_EASE = 0.93  # where calls have crowded the counter, a good one shortens the spacing to so much of it
 GAP_TIGHT = 1.1  # and one that was good but slow lengthens it so
-SLOW_SHARE = 0.5  # of the time that a call may take: an answer after more of it shows a long line
+SLOW_SHARE = 0.5  # of what the way there and back leaves of the time that a call may take: more shows a line
+WAY_WEIGHT = 0.01  # of one answer that took longer, in the time of the way: a counter may move farther off
 CALL_SIZES = 4.0  # a small request waits for a call as long as so many spacings at most, a large one less
 SCARCE_SHARE = 0.5  # of its store: while calls are scarce, who was found short is asked about again with that
 DOUBT_PART = 0.03  # of the price of a call, as some requests are let in before it tells
@@ -146,6 +147,7 @@
         self.gap, self.call_at, self.direct = 0.0, 0.0, 1.0
         self.gap_fit, self.failing = 0.0, False  # the spacing after a first failure; the last call failed
         self.mean_cost, self.short = float(MILLI), 0.0  # of what waits for a call; thin borrows found short
+        self.way_ms = settings.counter_wait_ms  # there and back: the quickest answer of the counter of late
         self.doubt = DOUBT  # share of counts that found no room where the store was thought well filled
         self.asked: dict[int, tuple[Bucket, int, int]] = {}  # asks out by nonce: customer, window, home
         self.away: dict[int, float] = {}  # gateways that did not answer: until when they are passed over
@@ -367,7 +369,9 @@
             self.untold(now, b, kind, win, e.outcome is Outcome.OK)
             return
         self.direct = min(1.0, self.direct + DIRECT_GAIN) if good else self.direct * DIRECT_LOSS
-        if good and e.elapsed_ms > SLOW_SHARE * self.s.counter_wait_ms:
+        if good:
+            self.way_ms = min(e.elapsed_ms, self.way_ms + WAY_WEIGHT * (e.elapsed_ms - self.way_ms))
+        if good and e.elapsed_ms - self.way_ms > SLOW_SHARE * (self.s.counter_wait_ms - self.way_ms):
             self.gap, self.failing = min(GAP_MOST_MS, max(GAP_FIRST_MS, self.gap * GAP_TIGHT)), False
         elif good:
             # Halved at each good call, doubled at each failed one, it would settle where every second fails.
--- a/tests/test_crowded.py
+++ b/tests/test_crowded.py
@@ -150,3 +150,15 @@
         p.now += 1000.0
         p.counted(p.request(plan="basic", spread=40, customer=f"b{i}")[1], {})
     assert p.g.gap < 20.0
+
+
+def test_a_counter_that_is_far_off_is_not_taken_for_a_crowded_one():
+    p = thin()
+    for i in range(50):
+        p.now += 100.0
+        (call,) = of(p.request(plan="basic", spread=40, customer=f"a{i}")[1], io.Count)
+        p.put(io.CountResult(call.name, io.Outcome.OK, 1.0, 31.0 if i % 2 else 33.0))  # of 50 ms
+        assert p.g.gap == 0.0
+    (call,) = of(p.request(plan="basic", spread=40, customer="late")[1], io.Count)
+    p.put(io.CountResult(call.name, io.Outcome.OK, 1.0, 45.0))
+    assert p.g.gap > 0.0
