Take out a field of the bucket that nobody reads

Cause: lease_win was read by the two-call borrow, which is gone; since then the window of a call's answer is its own. Seen on reading the whole change once more, which showed nothing else that is dead.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -353,7 +353,7 @@
     def borrow(self, now: float, b: Bucket) -> None:
         """One call: a lease for what waits, and with it what was let in or lapsed here since the last."""
         b.roll(now)
-        b.lease, b.lease_win, b.pending = b.want(self.direct), b.win, 1
+        b.lease, b.pending = b.want(self.direct), 1
         self.call_at = max(self.call_at, now + self.gap)
         self.call(b, "lease", b.win, b.lease + b.report())
 
--- a/cobaltline/quota.py
+++ b/cobaltline/quota.py
@@ -69,7 +69,7 @@
         self.win, self.opened = int(self.clock(now)[0]), -1  # the window; the last one a count was seen of
         # What this gateway has in the count of this window; let in and not counted yet; lapsed, not returned.
         self.added = self.owed = self.left = 0
-        self.tokens, self.lent_at, self.lease, self.lease_win = 0, now, 0, 0
+        self.tokens, self.lent_at, self.lease = 0, now, 0
         self.level, self.filled = 0.0, False  # of the store after the last lease; whether that is well filled
         self.uncounted = 0  # requests that are owed
         self.spent = self.spent_before = 0  # own use since `spent_at`, and in the `fill_ms` before
