Let no more attempts out than there are connections to carry them

Cause: the gateway holds a bounded number of connections to backends (11 with 64 descriptors), but the module knew nothing of it. With 12 requests out the next one found no room; that ended as a failed connection, which the module took for a fault of the backend, tried three others in the same millisecond and answered 503. In the log of a failing run each refusal follows three "no room" ends, with 11 out, 21 as the limit and no strain. A connection for a request that was over, while it came up or until the loop closed it, took up room as well.

Change: `Settings.most_out` tells the module how many connections there are, and its limit on own attempts out never goes over that, so that the dearest wait goes first and nothing is laid on the backends. Connections for nobody give way.

The test itself had two faults, mended as strictly: discovery's port was free while it was down, and a client's own end could get it (it is now kept, bound); and holding all backends for 3 s let the module take them for crowded and rightly refuse some (now until each backend holds a request, and 0.5 s; discovery and counter are down for as long as before).

The new tests fail without the change.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -459,7 +459,7 @@
             self.at(now + IDLE_MS, self.sweep, None)
             if self.s.must_ask:
                 self.subscribe(now, None)
-            self.limit = FLEET_FIRST * len(e.backends) / max(1, self.s.gateways)
+            self.limit = min(self.s.most_out, FLEET_FIRST * len(e.backends) / max(1, self.s.gateways))
         for entry in e.backends:
             server = self.servers.get(entry.id)
             if server is not None:
@@ -469,7 +469,8 @@
             server.update(entry)
             (self.fleet.enlist if entry.state is BackendState.UP else self.fleet.retire)(server)
         if e.kind is io.ListKind.CHANGES and self.send_rate <= 0.0:  # the first list may come in parts
-            self.limit = max(self.limit, FLEET_FIRST * len(self.usable) / max(1, self.s.gateways))
+            more = min(self.s.most_out, FLEET_FIRST * len(self.usable) / max(1, self.s.gateways))
+            self.limit = max(self.limit, more)
         if self.send_rate <= 0.0:
             self.known = len(self.usable)
         self.pump(now)
@@ -575,7 +576,7 @@
         self.credit, self.credit_at = min(PACE_BURST, self.credit + gain), now
         if self.limit >= PACE_BURST:
             return self.out < self.limit
-        return self.out < PACE_BURST and self.credit >= 1.0 - 1e-6
+        return self.out < min(PACE_BURST, self.s.most_out) and self.credit >= 1.0 - 1e-6
 
     def send(self, now: float, req: Request, server: Server) -> None:
         attempt = Attempt(server, len(req.attempts), now)
@@ -684,6 +685,7 @@
             step = self.limit * FLEET_STEP
             self.limit += max(min(0.5, step), step * (1.0 - self.strain / TARGET_AIM)) * steps
             self.pressed = False
+        self.limit = min(self.s.most_out, self.limit)
 
     def pump(self, now: float, _arg=None) -> None:
         while self.ready and self.free(now):
--- a/cobaltline/interface.py
+++ b/cobaltline/interface.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -114,6 +115,7 @@
     may_advise: bool = False  # clients are given `Reject.retry_after_ms`
     most_retry_after_ms: float = 0.0
     most_attempts: int = 1
+    most_out: float = math.inf  # own attempts out at once: there are connections for so many
     connect_timeout_ms: float = 250.0
     answer_slack_ms: float = 0.0
     drain_grace_ms: float = 0.0
--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -221,6 +221,7 @@
             exchange.end(io.Outcome.RESET if exchange.sent else io.Outcome.CONNECT_FAILED)
 
     def abort(self) -> None:
+        self._pool.all.discard(self)  # takes up no room, though the loop closes it only in its next turn
         self._transport.abort()
 
     def usable(self) -> bool:
@@ -236,7 +237,7 @@
         self.where, self.closed = where, False
         self.all: set[Connection] = set()
         self.free: list[Connection] = []  # the latest used last
-        self.opening: dict[Exchange, None] = {}
+        self.opening: dict[Exchange, asyncio.Task] = {}
 
     def send(self, exchange: Exchange) -> None:
         connection = self._free(self.loop.time() - REST_S)
@@ -249,8 +250,7 @@
         if connection is not None:
             connection.start(exchange)
             return
-        self.opening[exchange] = None
-        self._backends.background(self._open(exchange))
+        self.opening[exchange] = self._backends.background(self._open(exchange))
 
     def _free(self, rested: float) -> Connection | None:
         """The latest used that has stood idle since then, as far as it can still be used: not where the
@@ -303,6 +303,15 @@
         while self.free and self.free[0].idle_since <= before:
             self.free.pop(0).abort()
 
+    def give_way(self) -> bool:
+        """Give up one connection that comes up for a request that is over; whether there was one."""
+        for exchange, task in self.opening.items():
+            if exchange.over:
+                del self.opening[exchange]
+                task.cancel()
+                return True
+        return False
+
     def close(self) -> None:
         """Nothing new from here on; what runs may finish."""
         self.closed = True
@@ -334,19 +343,20 @@
         self._parting = {pool for pool in self._parting if pool.all or pool.opening}
         self.loop.call_later(SWEEP_S, self._sweep)
 
-    def background(self, work) -> None:
+    def background(self, work) -> asyncio.Task:
         task = self.loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def room(self) -> bool:
-        """Whether one more connection may be opened; an idle one elsewhere gives way."""
+        """Whether one more connection may be opened; an idle one elsewhere gives way, or one for nobody."""
         pools = [*self._pools.values(), *self._parting]
         if sum(len(pool.all) + len(pool.opening) for pool in pools) < self._most:
             return True
         idle = [pool for pool in pools if pool.free]
         if not idle:
-            return False
+            return any(pool.give_way() for pool in pools)
         pool = min(idle, key=lambda pool: pool.free[0].idle_since)
         pool.free.pop(0).abort()
         return True
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 import gc
 import logging
@@ -67,7 +68,10 @@
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
         self.now = self._clock.now
-        settings = config.settings
+        left = config.sockets - OWN_SOCKETS
+        connections = int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART))  # to backends
+        # The module chooses who waits where there are fewer connections than it would send requests.
+        settings = dataclasses.replace(config.settings, most_out=float(connections))
         self._module = Gateway(settings, config.seed)
         self._requests: dict[str, Held] = {}
         self._names: set[bytes] = set()  # what their clients call them
@@ -75,11 +79,9 @@
         self._events: deque = deque()
         self._busy = False
         self._entries = 0  # of lists, since what is kept of them was taken out of the collector's sight
-        left = config.sockets - OWN_SOCKETS
         self.clients = Clients(
             self, settings, int(min(config.sockets * CLIENT_SHARE, left * CLIENT_PART)))
-        self.backends = Backends(
-            settings, config.keepalive_ms, int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART)))
+        self.backends = Backends(settings, config.keepalive_ms, connections)
         self.counter = Counter(config.counter, settings.counter_wait_ms, self.put) if config.counter else None
         self.discovery = Discovery(
             config.discovery, config.known.event.version, self.listed,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -466,6 +466,24 @@
     run(scene)
 
 
+@pytest.mark.parametrize("up", [False, True], ids=["comes up", "was written to"])
+def test_a_connection_for_a_request_that_is_over_takes_up_no_room(up):
+    async def scene():
+        backend, silent = await Backend().start(), await Backend(Hold()).start()
+        with never_up() as nowhere:
+            sender = Sender(silent.port if up else nowhere, backend.port, in_all=1)
+            first = sender.send(0)
+            if up:
+                await until(lambda: first.sent)
+            first.drop(io.Outcome.CANCELLED)
+            second = sender.send(1)
+            await until(lambda: second.over)
+            assert sender.outcomes() == [io.Outcome.CANCELLED, io.Outcome.OK]
+        backend.server.close()
+        silent.server.close()
+    run(scene)
+
+
 def test_a_backend_that_drains_finishes_what_it_has_and_gets_nothing_new():
     async def scene():
         hold = Hold(ok(b"old"))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
+from helpers import Play, answers, of
 from world import ENDS, Backend, Hold, World, request, run, until
 
+from cobaltline import interface as io
+
 SOCKETS = 64  # the fewest that the program serves with
 FEW = f"import resource\nresource.setrlimit(resource.RLIMIT_NOFILE, ({SOCKETS}, {SOCKETS}))"
 IN_TIME_S = 6.0
@@ -37,16 +41,36 @@
 
 
 async def down(world):
-    """Discovery and the counter die."""
+    """Discovery and the counter die. Their ports refuse, and stay theirs: a client's end could get them."""
     for server in (world.discovery, world.counter):
         server.server.close()
         for writer in server.writers:
             writer.transport.abort()
+        server.port_kept = socket.socket()
+        server.port_kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        async with asyncio.timeout(IN_TIME_S):
+            while True:  # the loop closes the old one in one of its next turns
+                await asyncio.sleep(0)
+                with contextlib.suppress(OSError):
+                    server.port_kept.bind(("127.0.0.1", server.port))
+                    break
 
 
 async def up(world):
     for server in (world.discovery, world.counter):
-        server.server = await asyncio.start_server(server._serve, "127.0.0.1", server.port)
+        server.server = await asyncio.start_server(server._serve, sock=server.port_kept)
+
+
+def test_no_more_attempts_are_out_than_there_are_connections_and_the_rest_waits():
+    p = Play(backends=[f"b{i}" for i in range(8)], most_out=4.0)  # by the length of the list it would be 8
+    sent = [(name, of(actions, io.Send)) for name, actions in (p.request() for _ in range(6))]
+    assert [len(sends) for _, sends in sent] == [1] * 4 + [0] * 2
+    assert not any(answers(p.all, name) for name, _ in sent)
+    for _ in range(40):  # answers that come soon let the limit grow
+        first = next(iter(p.g.flights.values()))[1]
+        assert len(of(p.ended(first.id, took=5.0), io.Send)) == 1 and p.g.out == 4
+        p.now += 5.0
+        p.request()
 
 
 @pytest.mark.parametrize("ask", ["push", "ask"])
@@ -58,14 +82,17 @@
             assert (await w.call(request(plan="basic"))).status == 200
             await down(w)
             idlers = Idlers(w, 150)
-            holds = [Hold() for _ in backends]  # as many connections to backends as there may be
+            holds = [Hold() for _ in backends]  # as many requests out as the gateway begins with
             for backend, hold in zip(backends.values(), holds, strict=True):
                 backend.reply = hold
             calls = [asyncio.create_task(w.call(request())) for _ in range(24)]
-            await asyncio.sleep(3.0)
+            for hold in holds:
+                await hold.reached.wait()
+            await asyncio.sleep(0.5)  # not so long that the backends are taken for crowded, and some refused
             for hold in holds:
                 hold.release.set()
             assert [answer.status for answer in await asyncio.gather(*calls)] == [200] * len(calls)
+            await asyncio.sleep(2.5)
             b0, w.discovery.generation = backends["b0"], w.discovery.generation + 1
             w.discovery.entries["b0"] = w.discovery.entry("b0", b0.port, "Terminating")
             lines, heard = len(w.counter.lines), len(w.discovery.targets)
