Measure requests straight to a backend beside those through the gateway, and what one costs

Change: half-way between the gateway's requests the same client sends others straight to a backend that no gateway knows, over kept connections. Added time is less their median; their median and 99th percentile are figures of their own. The gateway's processor time for a request, over that at rest, is a new figure.

--- a/scale/client.py
+++ b/scale/client.py
@@ -26,10 +26,10 @@
 
 @dataclass
 class Answers:
-    """What came of a run of requests: `added_ms` each, from when it was due to its last byte; status 0 is a
+    """What came of a run of requests: `took_ms` each, from when it was due to its last byte; status 0 is a
     connection that ended. `late_ms`: how late each was sent, which is the rig's own doing."""
 
-    added_ms: list[float] = field(default_factory=list)
+    took_ms: list[float] = field(default_factory=list)
     late_ms: list[float] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
 
@@ -99,14 +99,16 @@
 
     def _answered(self, caller: Caller, status: int) -> None:
         self._out -= 1
-        self._answers.added_ms.append((time.monotonic() - caller.due) * 1000.0)
+        self._answers.took_ms.append((time.monotonic() - caller.due) * 1000.0)
         self._answers.statuses[status] += 1
         if status:
             self._idle.append(caller)
         self._on_answer()
 
-    async def scheduled(self, rate: float, seconds: float, plan: str = "free") -> Answers:
-        """Open loop: a request each 1/rate s, whether others were answered or not, timed from when it is due.
+    async def scheduled(
+            self, rate: float, seconds: float, plan: str = "free", after_s: float = 0.0) -> Answers:
+        """Open loop: a request each 1/rate s, whether others were answered or not, timed from when it is due;
+        the first `after_s` late.
 
         A thread keeps the schedule, as the loop's own timers count whole milliseconds.
         """
@@ -114,7 +116,7 @@
         count = max(1, int(rate * seconds))
         here, there = socket.socketpair()
         here.setblocking(False)
-        start = time.monotonic() + 0.01
+        start = time.monotonic() + 0.01 + after_s
 
         def pace() -> None:
             for n in range(count):
--- a/scale/real.py
+++ b/scale/real.py
@@ -22,7 +22,7 @@
 from .client import Answers, Client
 from .figure import Figure
 from .program import METER_LEAST_MS, Program
-from .standins import Agent, Backends, Counter, Roster
+from .standins import HOST, Agent, Backends, Counter, Roster
 
 COMMAND = "python -m scale.real"
 REQUESTS_PER_S = 61.0  # of one gateway of the design at its peak: 190,000 over 3,100
@@ -85,10 +85,12 @@
         self._home = tempfile.TemporaryDirectory()
         self.home = Path(self._home.name)
         self.backends, self.counter = await Backends().start(), await Counter().start()
+        self.straight = await Backends().start()  # asked by a client itself, and known to no gateway
         return self
 
     async def __aexit__(self, *error: object) -> None:
         self.backends.close()
+        self.straight.close()
         self.counter.close()
         self._home.cleanup()
 
@@ -191,6 +193,7 @@
         self._site, self._size, self._spans = site, size, spans
         self._put, self._note = sheet.put, lambda text: note(f"{size} backends: {text}")
         self._roster = Roster(size, site.backends.port)
+        self._rest_ms_per_s = 0.0  # processor time of a gateway to which nothing comes
 
     def put(self, name: str, unit: str, about: str, value: float | None, why: str = "") -> None:
         self._put(name, unit, about, self._size, value, why)
@@ -228,6 +231,7 @@
 
         rest_s, rest_ms, rest_bytes, _ = await spent(asyncio.sleep(spans.rest_s))
         per_s, bytes_per_s = rest_ms / rest_s, rest_bytes / rest_s
+        self._rest_ms_per_s = per_s
         self.put("processor time at rest", "ms/s", "Heartbeats of discovery and the counter alone", per_s)
         self.put("bytes at rest", "B/s", "Payload both ways, discovery and counter, no requests", bytes_per_s)
         took_s, ms, size, told = await spent(
@@ -258,7 +262,7 @@
 
     async def _stalls(self, plain: Program, metered: Program, agents: list[Agent]) -> None:
         seconds, roster, backends = self._spans.phase_s, self._roster, self._site.backends
-        client = Client(plain.address)
+        client, straight = Client(plain.address), Client((HOST, self._site.straight.port))
         changes = Changes(self._site, agents, roster)
 
         async def measure(phase: str, work) -> None:
@@ -266,10 +270,12 @@
             gc.collect()
             since = time.monotonic()
             task = asyncio.create_task(work)
-            answers = await client.scheduled(REQUESTS_PER_S, seconds)
+            answers, bare = await asyncio.gather(
+                client.scheduled(REQUESTS_PER_S, seconds),
+                straight.scheduled(REQUESTS_PER_S, seconds, after_s=0.5 / REQUESTS_PER_S))
             outcome = await task
             refused = "a whole list is refused" if outcome is False else ""
-            self._put_added(phase, answers, refused)
+            self._put_added(phase, answers, bare, refused)
             self.put(f"longest step of the loop, {phase}", "ms",
                      "How late a timer of 1 ms is, less what the process waited for a processor, inside a "
                      "second gateway that gets the lists and changes but no requests; "
@@ -284,8 +290,14 @@
         roster.prepare(most)
         await measure(LISTS, flow_of_lists())
         accepted, requests = backends.accepted, backends.requests
+        since, cpu_s = time.monotonic(), plain.cpu_s()
         await measure(QUIET, asyncio.sleep(seconds))
+        spent_ms = (plain.cpu_s() - cpu_s) * 1000.0 - self._rest_ms_per_s * (time.monotonic() - since)
+        self.put("processor time for a request", "ms",
+                 f"Of the gateway, over that at rest; nothing else comes, {REQUESTS_PER_S:.0f} requests/s",
+                 spent_ms / max(1, backends.requests - requests))
         client.close()
+        straight.close()
         self.put("new connections a request", "1", "Accepted by the backends, at "
                  f"{REQUESTS_PER_S:.0f} requests/s and after {2 * seconds:.0f} s of them",
                  (backends.accepted - accepted) / max(1, backends.requests - requests))
@@ -298,13 +310,19 @@
         self.put("time until a change is in force, most", "ms", f"{about}; of {len(force)}",
                  max(force, default=None), never)
 
-    def _put_added(self, phase: str, answers: Answers, refused: str) -> None:
+    def _put_added(self, phase: str, answers: Answers, bare: Answers, refused: str) -> None:
+        straight_ms = float(np.median(bare.took_ms))
         for what, share in (("median", 50), ("99th percentile", 99), ("most", 100)):
             self.put(f"added time, {phase}: {what}", "ms",
                      f"From when a request was due, each 1/{REQUESTS_PER_S:.0f} s, to its answer's last "
-                     "byte; the backends answer at once",
-                     None if refused else float(np.percentile(answers.added_ms, share)),
+                     "byte, less the median of the same client's requests straight to a backend, over kept "
+                     "connections and half-way between; the backends answer at once",
+                     None if refused else float(np.percentile(answers.took_ms, share)) - straight_ms,
                      refused or answers.unserved())
+        for what, share in (("median", 50), ("99th percentile", 99)):
+            self.put(f"straight to a backend, {phase}: {what}", "ms",
+                     "No gateway: what the rig, the loopback and the machine take themselves",
+                     float(np.percentile(bare.took_ms, share)), bare.unserved())
         self.put(f"the rig's own lateness, {phase}: 99th percentile", "ms",
                  "Of sending a request, as where the machine is busy; it is part of the added times",
                  float(np.percentile(answers.late_ms, 99)))
@@ -368,7 +386,7 @@
             note(f"requests of {count} customers")
             left_s = limit - time.monotonic()
             answers = await client.distinct(seen, count - seen, "thin", AT_ONCE, max(0.0, left_s))
-            seen += len(answers.added_ms)
+            seen += len(answers.took_ms)
             why = answers.unserved()
             if seen < count:
                 why = f"only {seen} in {CUSTOMERS_WITHIN_S:.0f} s"
--- a/tests/test_scale_real.py
+++ b/tests/test_scale_real.py
@@ -60,7 +60,7 @@
         await flow
         client.close()
         assert program.longest_step_ms(quiet, real.time.monotonic()) > 0.9 * still_ms
-        added = sorted(answers.added_ms)
+        added = sorted(answers.took_ms)
         assert added[-1] > 0.8 * still_ms
         # All that were due meanwhile waited, not only the one that was out: twice seven or so.
         assert sum(ms > 0.2 * still_ms for ms in added) >= 8
