Look for room for a connection at the same cost however many backends have some

Cause: each new connection summed the connections of all pools and looked for the longest idle among them.

Change: one table holds what takes up room, and one what stands idle, longest first, over all pools.

The test counts the calls that a look makes, and fails without the change.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import select
 from collections.abc import Callable
@@ -221,7 +222,7 @@
             exchange.end(io.Outcome.RESET if exchange.sent else io.Outcome.CONNECT_FAILED)
 
     def abort(self) -> None:
-        self._pool.all.discard(self)  # takes up no room, though the loop closes it only in its next turn
+        self._pool.drop(self)  # takes up no room, though the loop closes it only in its next turn
         self._transport.abort()
 
     def usable(self) -> bool:
@@ -250,6 +251,7 @@
         if connection is not None:
             connection.start(exchange)
             return
+        self._backends.held[exchange] = self
         self.opening[exchange] = self._backends.background(self._open(exchange))
 
     def _free(self, rested: float) -> Connection | None:
@@ -257,7 +259,7 @@
         backend may be about to close it, even if the sweep has not come by yet."""
         stale = self.loop.time() - self._backends.idle_s
         for connection in [x for x in reversed(self.free) if x.idle_since <= rested]:
-            self.free.remove(connection)
+            self._take(connection)
             if connection.idle_since > stale and connection.usable():
                 return connection
             connection.abort()
@@ -272,12 +274,17 @@
             if exchange.connection is None:
                 exchange.end(io.Outcome.CONNECT_FAILED)
         finally:
-            self.opening.pop(exchange, None)
+            self._end_opening(exchange)
+
+    def _end_opening(self, exchange: Exchange) -> None:
+        self.opening.pop(exchange, None)
+        self._backends.held.pop(exchange, None)
 
     def opened(self, connection: Connection, exchange: Exchange) -> None:
         """Sends nothing for a request that is over by now, or where the backend drains."""
-        self.opening.pop(exchange, None)
+        self._end_opening(exchange)
         self.all.add(connection)
+        self._backends.held[connection] = self
         if self.closed:
             connection.abort()
         elif exchange.over or exchange.wanted is not None and not exchange.wanted():
@@ -292,30 +299,40 @@
             return
         connection.idle_since = self.loop.time()
         self.free.append(connection)
+        self._backends.idle[connection] = self
 
-    def lost(self, connection: Connection) -> None:
+    def _take(self, connection: Connection) -> None:
+        self.free.remove(connection)
+        del self._backends.idle[connection]
+
+    def drop(self, connection: Connection) -> None:
         self.all.discard(connection)
+        self._backends.held.pop(connection, None)
+
+    def lost(self, connection: Connection) -> None:
+        self.drop(connection)
         if connection in self.free:
-            self.free.remove(connection)
-
-    def retire(self, before: float) -> None:
-        """Close what has stood idle since before then."""
-        while self.free and self.free[0].idle_since <= before:
-            self.free.pop(0).abort()
-
-    def give_way(self) -> bool:
-        """Give up one connection that comes up for a request that is over; whether there was one."""
-        for exchange, task in self.opening.items():
-            if exchange.over:
-                del self.opening[exchange]
-                task.cancel()
-                return True
-        return False
+            self._take(connection)
+
+    def retire(self, connection: Connection) -> None:
+        """Close one that stands idle."""
+        self._take(connection)
+        connection.abort()
+
+    def retire_all(self) -> None:
+        for connection in list(self.free):
+            self.retire(connection)
+
+    def give_up(self, exchange: Exchange) -> None:
+        """The connection that comes up for it is not wanted any more."""
+        task = self.opening[exchange]
+        self._end_opening(exchange)
+        task.cancel()
 
     def close(self) -> None:
         """Nothing new from here on; what runs may finish."""
         self.closed = True
-        self.retire(float("inf"))
+        self.retire_all()
         for exchange in list(self.opening):
             exchange.end(io.Outcome.CONNECT_FAILED)
 
@@ -328,6 +345,10 @@
         self._places: dict[str, tuple[Address, float]] = {}  # that take new work: where, since when
         self._pools: dict[str, Pool] = {}  # of those that were sent anything lately
         self._parting: set[Pool] = set()  # those that only finish what they have
+        # Over all pools, as a request to one of many backends mostly needs a new connection: what takes up
+        # room, open or coming up; and of that what stands idle, longest first.
+        self.held: dict[Connection | Exchange, Pool] = {}
+        self.idle: dict[Connection, Pool] = {}
         self._tasks: set[asyncio.Task] = set()
         self._path = b"/load" if settings.reports else b"/healthz"
 
@@ -336,10 +357,11 @@
 
     def _sweep(self) -> None:
         before = self.loop.time() - self.idle_s
-        for name, pool in list(self._pools.items()):
-            pool.retire(before)
-            if not pool.all and not pool.opening:
-                del self._pools[name]
+        for connection, pool in list(itertools.takewhile(
+                lambda entry: entry[0].idle_since <= before, self.idle.items())):
+            pool.retire(connection)
+        for name in [name for name, pool in self._pools.items() if not pool.all and not pool.opening]:
+            del self._pools[name]
         self._parting = {pool for pool in self._parting if pool.all or pool.opening}
         self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -351,15 +373,17 @@
 
     def room(self) -> bool:
         """Whether one more connection may be opened; an idle one elsewhere gives way, or one for nobody."""
-        pools = [*self._pools.values(), *self._parting]
-        if sum(len(pool.all) + len(pool.opening) for pool in pools) < self._most:
+        if len(self.held) < self._most:
             return True
-        idle = [pool for pool in pools if pool.free]
-        if not idle:
-            return any(pool.give_way() for pool in pools)
-        pool = min(idle, key=lambda pool: pool.free[0].idle_since)
-        pool.free.pop(0).abort()
-        return True
+        if self.idle:
+            connection, pool = next(iter(self.idle.items()))
+            pool.retire(connection)
+            return True
+        for held, pool in self.held.items():
+            if isinstance(held, Exchange) and held.over:
+                pool.give_up(held)
+                return True
+        return False
 
     def listed(self, found: Listing) -> list[Pool]:
         """Where backends listen, as discovery has it now. Those that are returned get nothing new: the caller
@@ -404,4 +428,4 @@
 
     def close_idle(self, backend: str) -> None:
         if backend in self._pools:
-            self._pools[backend].retire(float("inf"))
+            self._pools[backend].retire_all()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import sys
 import time
 
 import pytest
@@ -466,6 +467,27 @@
     run(scene)
 
 
+def test_a_look_for_room_costs_the_same_however_many_backends_have_connections():
+    async def scene():
+        backend = await Backend().start()
+        sender, calls = Sender(*[backend.port] * 60, in_all=60), []
+        for count in (10, 60):
+            exchanges = [sender.send(i) for i in range(count)]
+            await until(lambda: all(exchange.over for exchange in exchanges))  # noqa: B023
+            assert len(sender.backends.held) == count
+            sys.setprofile(lambda frame, event, arg: calls[-1].append(event) if event == "call" else None)
+            calls.append([])
+            room = sender.backends.room()
+            sys.setprofile(None)
+            assert room and len(sender.backends.held) == min(count, 59)
+        assert len(calls[1]) <= len(calls[0]) + 4  # the one idle for longest gives way
+        sender.list()
+        await until(lambda: backend.ended == backend.connections)
+        await until(lambda: not sender.backends.held and not sender.backends.idle)
+        backend.server.close()
+    run(scene)
+
+
 @pytest.mark.parametrize("up", [False, True], ids=["comes up", "was written to"])
 def test_a_connection_for_a_request_that_is_over_takes_up_no_room(up):
     async def scene():
