Name the field, and what is allowed there, in each error of a configuration

Missing: most errors told the value or Python's own complaint alone ('None is not an address', 'int' object is not iterable), so nobody saw which of the addresses, plans or classes was meant. An infinite whole number, which JSON's reader takes, ended the start with a traceback.

Changed: each error names the file and the field by its path (settings.plans[1].unitsPerS) with what is allowed.

The test of broken configurations asks for the field in each, and for one line.

--- a/cobaltline/adapter.py
+++ b/cobaltline/adapter.py
@@ -59,7 +59,8 @@
     """A line that the wire does not allow."""
 
 
-def _fill(target, source, keys):
+def _fill(target, source, keys, where=""):
+    """`where`: the path of `source` in the settings, for an error."""
     if not isinstance(source, dict):
         return target
     for theirs, ours in keys.items():
@@ -68,35 +69,56 @@
             continue
         want = type(getattr(target, ours))
         if want in (int, float, bool) and not isinstance(value, (int, float)):
-            raise Malformed(f"{theirs} is not a number")
-        setattr(target, ours, want(value))
+            raise Malformed(f"{where}{theirs}: {value!r} is not a number")
+        try:
+            setattr(target, ours, want(value))
+        except (ValueError, OverflowError):  # NaN and infinity, which JSON's reader takes
+            raise Malformed(f"{where}{theirs}: {value!r} is not a whole number") from None
     return target
 
 
 def _items(info, key):
+    """Entries with their paths."""
     found = info.get(key) or []
-    if not isinstance(found, list) or not all(isinstance(x, dict) and x.get("name") for x in found):
-        raise Malformed(f"{key} is not a list of named objects")
-    return found
+    if not isinstance(found, list):
+        raise Malformed(f"{key}: {found!r:.60} is not a list of named objects")
+    for i, entry in enumerate(found):
+        if not isinstance(entry, dict):
+            raise Malformed(f"{key}[{i}]: {entry!r:.60} is not an object")
+        if not entry.get("name") or isinstance(entry["name"], (dict, list)):
+            raise Malformed(f"{key}[{i}].name: {entry.get('name')!r} is not a name")
+        yield f"{key}[{i}].", entry
+
+
+def _repeat(entry, where):
+    text = entry.get("idempotency")
+    if isinstance(text, (dict, list)):
+        raise Malformed(f"{where}idempotency: {text!r} is not one of {', '.join(k.value for k in io.Repeat)}")
+    return {k.value: k for k in io.Repeat}.get(text, io.Repeat.UNSAFE)
 
 
 def settings_from(info: dict) -> io.Settings:
-    """The settings of a `SPAWN`; keys that are unknown are passed over."""
+    """The settings of a `SPAWN`; keys that are unknown are passed over. Raises Malformed, which names the
+    field by its path in the settings."""
     out = io.Settings()
     for section, keys in SETTING_KEYS.items():
-        _fill(out, info.get(section) if section else info, keys)
+        _fill(out, info.get(section) if section else info, keys, section and f"{section}.")
     out.must_ask = info.get("discovery") == "ask"
     report = info.get("report") or {}
-    source = report.get("source", "off")
-    out.reports = tuple(report.get("columns") or ()) if source != "off" else ()
+    if not isinstance(report, dict):
+        raise Malformed(f"report: {report!r:.60} is not an object")
+    source, columns = report.get("source", "off"), report.get("columns") or ()
+    try:
+        out.reports = tuple(columns) if source != "off" else ()
+    except TypeError:
+        raise Malformed(f"report.columns: {columns!r} is not a list of names") from None
     out.reports_on_answers = source == "inline"
-    for entry in _items(info, "classes"):
-        cls = _fill(io.RequestClass(name=entry["name"]), entry, CLASS_KEYS)
-        kinds = {k.value: k for k in io.Repeat}
-        cls.repeat = kinds.get(entry.get("idempotency"), io.Repeat.UNSAFE)
+    for where, entry in _items(info, "classes"):
+        cls = _fill(io.RequestClass(name=entry["name"]), entry, CLASS_KEYS, where)
+        cls.repeat = _repeat(entry, where)
         out.classes[cls.name] = cls
-    for entry in _items(info, "plans"):
-        out.plans[entry["name"]] = _fill(io.Plan(name=entry["name"]), entry, PLAN_KEYS)
+    for where, entry in _items(info, "plans"):
+        out.plans[entry["name"]] = _fill(io.Plan(name=entry["name"]), entry, PLAN_KEYS, where)
     return out
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -44,18 +44,35 @@
     assert config.counter is None and config.peer_listen is None
 
 
-BROKEN = {
-    "no JSON": "{", "no object": "[]", "no address": told(listen="7070"), "no port": told(listen="a:b"),
-    "no discovery": told(discovery=None), "a counter that is missing": told(counter=None),
-    "settings of another form": told(settings={"classes": 7}), "too few sockets": told(limits={"sockets": 8}),
-    "a list of another form": told(known=[1]), "no seed": told(seed="xyz"),
+def plan(**changes):
+    return told(settings=settings(plans=[{"name": "free"}, {"name": "basic", **changes}]))
+
+
+BROKEN = {  # what an error names, and a configuration that has it wrong
+    "Expecting property name": "{", "not an object": "[]", "listen: '7070'": told(listen="7070"),
+    "listen: 'a:b'": told(listen="a:b"), "discovery: None": told(discovery=None), "peers: ": told(peers=7),
+    "counter: none is named": told(counter=None), "peers[1]: 'x'": told(peers=["127.0.0.1:1", "x"]),
+    "settings: ": told(settings=[1]), "settings.classes: 7": told(settings={"classes": 7}),
+    "settings.classes[0].name: None": told(settings={"classes": [{"worth": 1}]}),
+    "settings.classes[0].idempotency: ['safe']": told(
+        settings={"classes": [{"name": "a", "idempotency": ["safe"]}]}),
+    "settings.plans[1].unitsPerS: 'two' is not a number": plan(unitsPerS="two"),
+    "settings.plans[1].concurrency: inf is not a whole number": plan(concurrency=float("inf")),
+    "settings.familyInfo.countWaitMs: '5'": told(settings=settings(familyInfo={"countWaitMs": "5"})),
+    "settings.policyLimits.keepaliveMs: ": told(settings=settings(policyLimits={"keepaliveMs": "long"})),
+    "settings.report.columns: 5": told(settings=settings(report={"columns": 5})), "limits: 8": told(limits=8),
+    "limits.sockets: 8 are too few": told(limits={"sockets": 8}), "seed: ": told(seed="xyz"),
+    "known: [1]": told(known=[1]), "known.instances: ": told(known={"instances": 3}),
+    "known.generation: ": told(known={"generation": "new"}),
 }
 
 
-@pytest.mark.parametrize("what", BROKEN.values(), ids=BROKEN)
-def test_a_broken_configuration_is_told_plainly(tmp_path, what):
-    with pytest.raises(ConfigError):
+@pytest.mark.parametrize("told_as, what", BROKEN.items(), ids=BROKEN)
+def test_a_broken_configuration_is_told_by_file_and_field(tmp_path, told_as, what):
+    with pytest.raises(ConfigError) as found:
         loaded(tmp_path, what)
+    assert str(found.value).startswith(f"{tmp_path / 'config.json'}: {told_as}")
+    assert "\n" not in str(found.value)
 
 
 @pytest.mark.parametrize("what", [None, "{", told(listen="192.0.2.1:7070")],
