Let the rig's client and its gateways be used with other settings and requests

Missing: a gateway of the rig always had the rig's settings and one address, and its client sent only reads to one gateway and looked at statuses alone. The command's demo needs both with its own.

Changed: Program takes its settings and host, and no longer hands the caller's NODE_ variables on to the gateway; Client's connections are a class of their own, which tells bodies, answers that nobody asked for, and asks once more where a kept connection ended before its request was read, as the protocol's clients do; a change told while nobody watches is left to the next watch.

--- a/scale/client.py
+++ b/scale/client.py
@@ -17,11 +17,16 @@
 NUMBERS = itertools.count(1)
 
 
-def request(customer: int, plan: str) -> bytes:
+def request(
+        customer: int, plan: str, kind: str = "read", safe: bool = True, name: str = "", spread: int = 2,
+        first: int = 0, deadline_s: float = DEADLINE_S) -> bytes:
+    """One of a unit and with no body. `name`: its id of 16 hex digits, a new one where none is given."""
+    method, length = ("GET", "") if safe else ("POST", "Content-Length: 0\r\n")
     return (
-        f"GET /api/{customer:016x} HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {next(NUMBERS):016x}\r\n"
-        f"X-Priority-Class: read\r\nPlan: {plan}\r\nX-Timeout: {DEADLINE_S}\r\n"
-        "Quota-Info: units=1,spread=2,first=0\r\n\r\n").encode()
+        f"{method} /api/{customer:016x} HTTP/1.1\r\nHost: api.internal\r\n"
+        f"X-Request-ID: {name or f'{next(NUMBERS):016x}'}\r\n"
+        f"X-Priority-Class: {kind}\r\nPlan: {plan}\r\nX-Timeout: {deadline_s}\r\n{length}"
+        f"Quota-Info: units=1,spread={spread},first={first}\r\n\r\n").encode()
 
 
 @dataclass
@@ -39,70 +44,107 @@
         return f"of {self.statuses.total()} requests not served: {', '.join(others)}" if others else ""
 
 
+Done = Callable[[int, bytes], None]  # is told an answer's status and body; 0 if the connection ended without
+
+
 class Caller(asyncio.Protocol):
     """A connection that carries one request at a time."""
 
-    def __init__(self, done: Callable[[Caller, int], None], first: bytes):
-        self._done, self._first, self._data = done, first, b""
-        self.due = 0.0
-        self.busy = True
+    def __init__(self, owner: Connections, text: bytes, done: Done):
+        self._owner, self._text, self._done, self._data = owner, text, done, b""
+        self.busy, self._kept = True, False
 
     def connection_made(self, transport) -> None:
         self.transport = transport
-        transport.write(self._first)
+        self._owner.callers.add(self)
+        transport.write(self._text)
 
-    def ask(self, text: bytes) -> None:
-        self.busy, self._data = True, b""
+    def ask(self, text: bytes, done: Done) -> None:
+        self._text, self._done, self._data = text, done, b""
+        self.busy, self._kept = True, True
         self.transport.write(text)
 
     def data_received(self, data: bytes) -> None:
+        if not self.busy:
+            self._owner.surplus += 1
+            return
         self._data += data
         head, end, body = self._data.partition(b"\r\n\r\n")
-        length = LENGTH.search(head)
-        if end and self.busy and len(body) >= int(length[1] if length else 0):
+        found = LENGTH.search(head)
+        length = int(found[1] if found else 0)
+        if end and len(body) >= length:
+            self._owner.surplus += len(body) > length
             self.busy = False
-            self._done(self, int(head[9:12]))
+            self._owner.idle.append(self)
+            self._done(int(head[9:12]), body[:length])
 
     def connection_lost(self, error: Exception | None) -> None:
+        self._owner.callers.discard(self)
         if self.busy:
             self.busy = False
-            self._done(self, 0)
+            if self._kept and not self._data:  # closed as idle, perhaps, before the request was read
+                self._owner.open(self._text, self._done)
+            else:
+                self._done(0, b"")
 
 
-class Client:
+class Connections:
+    """A client's connections to one gateway: kept, and more opened once all are busy."""
+
     def __init__(self, where: tuple[str, int]):
-        self._where, self._idle, self._out = where, [], 0
-        self._loop = asyncio.get_running_loop()
+        self._where = where
+        self.callers: set[Caller] = set()
+        self.idle: list[Caller] = []
         self._opening: set[asyncio.Task] = set()
-        self._answers = Answers()
-        self._on_answer: Callable[[], None] = lambda: None
+        self.surplus = 0  # times that something came to which no request was out
 
-    def _send(self, due: float, text: bytes) -> None:
-        self._out += 1
-        while self._idle:
-            caller = self._idle.pop()
+    def ask(self, text: bytes, done: Done) -> None:
+        while self.idle:
+            caller = self.idle.pop()
             if not caller.transport.is_closing():
-                caller.due = due
-                caller.ask(text)
+                caller.ask(text, done)
                 return
-        caller = Caller(self._answered, text)
-        caller.due = due
-        task = self._loop.create_task(self._open(caller))
+        self.open(text, done)
+
+    def open(self, text: bytes, done: Done) -> None:
+        """Ask on a connection of its own."""
+        task = asyncio.get_running_loop().create_task(self._open(text, done))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
 
-    async def _open(self, caller: Caller) -> None:
+    async def _open(self, text: bytes, done: Done) -> None:
         try:
-            await self._loop.create_connection(lambda: caller, *self._where)
+            await asyncio.get_running_loop().create_connection(
+                lambda: Caller(self, text, done), *self._where)
         except OSError:
-            self._answered(caller, 0)
+            done(0, b"")
+
+    def close(self) -> None:
+        """No request is told of it."""
+        for task in self._opening:
+            task.cancel()
+        for caller in list(self.callers):
+            caller.busy = False
+            caller.transport.abort()
 
-    def _answered(self, caller: Caller, status: int) -> None:
+
+class Client:
+    """Requests to one gateway and what came of them."""
+
+    def __init__(self, where: tuple[str, int]):
+        self._connections, self._out = Connections(where), 0
+        self._loop = asyncio.get_running_loop()
+        self._answers = Answers()
+        self._on_answer: Callable[[], None] = lambda: None
+
+    def _send(self, due: float, text: bytes) -> None:
+        self._out += 1
+        self._connections.ask(text, lambda status, _: self._answered(due, status))
+
+    def _answered(self, due: float, status: int) -> None:
         self._out -= 1
-        self._answers.added_ms.append((time.monotonic() - caller.due) * 1000.0)
+        self._answers.added_ms.append((time.monotonic() - due) * 1000.0)
         self._answers.statuses[status] += 1
-        if status:
-            self._idle.append(caller)
         self._on_answer()
 
     async def scheduled(self, rate: float, seconds: float, plan: str = "free") -> Answers:
@@ -172,5 +214,4 @@
         return answers
 
     def close(self) -> None:
-        for caller in self._idle:
-            caller.transport.abort()
+        self._connections.close()
--- a/scale/program.py
+++ b/scale/program.py
@@ -62,41 +62,47 @@
 """
 
 
-def free_port() -> int:
+def fleet_settings(size: int) -> dict:
+    """Of one gateway of a fleet that is to `size` backends as the design's is to its 26,000."""
+    return {**SETTINGS, "instances": max(2, round(size / BACKENDS_PER_GATEWAY))}
+
+
+def free_port(host: str) -> int:
     with socket.socket() as s:
-        s.bind((LISTEN_HOST, 0))
+        s.bind((host, 0))
         return s.getsockname()[1]
 
 
 class Program:
-    """One gateway, of a fleet that is to `size` backends as the design's is to its 26,000.
+    """One gateway, told `settings` and the ports of its discovery and counter.
 
-    `known`: the parts of its last list's text. `patch`: statements that are run before it starts. `metered`:
-    it notes its longest steps.
+    `known`: the parts of its last list's text. `metered`: it notes its longest steps. `patch`: statements
+    that are run before it starts. `host`: where it listens, at a port that was free.
     """
 
     def __init__(
-            self, home: Path, size: int, discovery: int, counter: int, known: tuple[bytes, ...],
-            metered: bool = False, patch: str = ""):
-        self._counter, self._known = counter, known
-        self._settings = {**SETTINGS, "instances": max(2, round(size / BACKENDS_PER_GATEWAY))}
-        port = free_port()
-        self.address = LISTEN_HOST, port
-        self._stem = home / f"{port}"
-        self._meter = self._stem.with_suffix(".steps")
+            self, home: Path, settings: dict, discovery: int, counter: int, known: tuple[bytes, ...],
+            metered: bool = False, patch: str = "", host: str = LISTEN_HOST):
+        self._counter, self._known, self._settings = counter, known, settings
+        self.address = host, free_port(host)
+        self._stem = home / "{}-{}".format(*self.address)
+        self._meter = self._file("steps")
         self._code = f"METER_FILE = {str(self._meter)!r}\n{METER}\n" if metered else ""
         self._code += patch
         self.write_config(discovery)
         self.process: asyncio.subprocess.Process | None = None
         self.began = 0.0
 
+    def _file(self, kind: str) -> Path:
+        return self._stem.with_name(f"{self._stem.name}.{kind}")
+
     def write_config(self, discovery: int) -> None:
         """`known` is spliced in as text: a list of 100,000 entries is not parsed again here."""
         raw = json.dumps({
-            "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f30d27a5be964",
-            "discovery": f"127.0.0.1:{discovery}", "counter": f"127.0.0.1:{self._counter}", "limits": LIMITS,
-            "settings": self._settings}).encode()
-        path = self._stem.with_suffix(".json")
+            "name": "n{}".format(self._settings["me"]), "listen": "{}:{}".format(*self.address),
+            "seed": "8c1f30d27a5be964", "discovery": f"127.0.0.1:{discovery}",
+            "counter": f"127.0.0.1:{self._counter}", "limits": LIMITS, "settings": self._settings}).encode()
+        path = self._file("json")
         path.write_bytes(raw[:-1] + b',"known":' + b"".join(self._known) + b"}")
         self._config = path
 
@@ -105,10 +111,11 @@
         if self._code:
             command = ["-c", f"{self._code}\nimport sys\nfrom elderhub import __main__ as main\n"
                              "sys.exit(main.main())"]
-        with open(self._stem.with_suffix(".log"), "ab") as log:
+        environ = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
+        with open(self._file("log"), "ab") as log:
             self.began = time.monotonic()
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *command, cwd=ROOT, env=dict(os.environ, NODE_CONFIG=str(self._config)),
+                sys.executable, *command, cwd=ROOT, env=dict(environ, NODE_CONFIG=str(self._config)),
                 stdout=log, stderr=log)
 
     async def ready(self, within_s: float, given_up=lambda: False) -> float | None:
@@ -136,7 +143,7 @@
 
     def told(self) -> str:
         """The end of what it wrote."""
-        return self._stem.with_suffix(".log").read_text()[-2000:]
+        return self._file("log").read_text()[-2000:]
 
     def cpu_s(self) -> float:
         """User and system time of all its threads so far: the kernel's clock of the process, whose id is
--- a/scale/real.py
+++ b/scale/real.py
@@ -21,7 +21,7 @@
 
 from .client import Answers, Client
 from .figure import Figure
-from .program import METER_LEAST_MS, Program
+from .program import METER_LEAST_MS, Program, fleet_settings
 from .standins import Agent, Backends, Counter, Roster
 
 COMMAND = "python -m scale.real"
@@ -96,7 +96,8 @@
     async def gateway(
             self, agent: Agent, known: tuple[bytes, ...] = (b"{}",), metered: bool = False, patch: str = ""):
         """A gateway from its start, which need not be ready yet, to its end."""
-        program = Program(self.home, agent.roster.size, agent.port, self.counter.port, known, metered, patch)
+        program = Program(self.home, fleet_settings(agent.roster.size), agent.port, self.counter.port, known,
+                          metered, patch)
         await program.start()
         try:
             yield program
--- a/scale/standins.py
+++ b/scale/standins.py
@@ -142,12 +142,13 @@
         await writer.drain()
 
     def tell(self, *entries: bytes) -> float:
-        """Write a change to the gateway that watches; returns when."""
+        """Write a change to the gateway that watches, if one does; returns when."""
         line = self.roster.changes(*entries) + b"\n"
         data = b"%x\r\n%b\r\n" % (len(line), line)
-        self.bytes += len(data)
         at = time.monotonic()
-        self._writer.write(data)
+        if self._writer is not None:
+            self.bytes += len(data)
+            self._writer.write(data)
         return at
 
     async def watched_anew(self, within_s: float) -> bool:
