Check the protocol's rules by what clients and backends saw alone

Measured: tests/test_rules_seen.py, 24 passed: each rule broken by a scripted scene, and one beside it kept.

--- /dev/null
+++ b/rosehitch/__init__.py
@@ -0,0 +1,1 @@
+"""The command `rosehitch`: serve, check a configuration, demo."""
--- /dev/null
+++ b/tests/test_rules_seen.py
@@ -0,0 +1,100 @@
+"""The demo's rules, by what clients and backends would have seen: each is found broken where it is."""
+
+import pytest
+
+from rosehitch import rules
+from rosehitch.rules import ANSWERS, AT_ONCE, DRAINS, QUOTAS, UNSAFE, Rules
+
+PLANS = {"free": {}, "quota": {"unitsPerS": 2.0, "depth": 4.0},
+         "hard": {"hardRate": 4.0, "ceilingBurst": 8.0, "tolerance": 1.0}}
+DRAIN_S, LAST_S = 1.0, 2.0
+
+
+class Seen(Rules):
+    def __init__(self):
+        super().__init__(PLANS, DRAIN_S)
+
+    def ask(self, name, safe=True, plan="free", last_s=LAST_S):
+        self.asked(name, "c", plan, safe, last_s)
+
+    def reach(self, name, backend="a", at=0.1, began=None):
+        return self.reached(name, backend, at if began is None else began, at)
+
+    def serve(self, attempt, at=0.2):
+        body = attempt.request.encode()
+        self.served(attempt, body)
+        self.answered(attempt.request, 200, body, at)
+
+    def one(self, name, plan="free", at=0.1):
+        self.ask(name, plan=plan, last_s=at + LAST_S)
+        self.serve(self.reach(name, at=at), at)
+
+
+def again(seen, safe, how):
+    """A second attempt after a first that ended thus."""
+    seen.ask("r", safe=safe)
+    first = seen.reach("r")
+    if how == "closed":
+        seen.closed(first, 0.15)
+    elif how == "turned away":
+        seen.turned_away(first)
+    second = seen.reach("r", "b", 0.2)
+    if how == "closed, seen late":
+        seen.closed(first, 0.2 + rules.SEEN_S)
+    elif how == "closed after":
+        seen.closed(first, 0.21 + rules.SEEN_S)
+    seen.serve(second, 0.3)
+
+
+def refused(seen, how):
+    seen.ask("r", safe=False)
+    first = seen.reach("r")
+    (seen.turned_away(first) if how == "turned away" else seen.closed(first, 0.15))
+    seen.answered("r", 503, b"", 0.2)
+
+
+def drained(seen, began):
+    seen.told("a", 1.0)
+    seen.ask("r")
+    seen.serve(seen.reach("r", at=began + 0.5, began=began), LAST_S)
+
+
+def answered(seen, status, body, at):
+    seen.ask("r")
+    seen.served(seen.reach("r"), b"theirs")
+    seen.answered("r", status, body, at)
+
+
+def flood(seen, plan, count, each_s):
+    for n in range(count):
+        seen.one(f"r{n}", plan, n * each_s)
+
+
+CASES = [
+    (lambda s: s.one("r"), None), (lambda s: s.ask("r"), ANSWERS), (lambda s: s.reach("r"), ANSWERS),
+    (lambda s: answered(s, 200, b"theirs", 2.4), None), (lambda s: answered(s, 200, b"theirs", 2.6), ANSWERS),
+    (lambda s: answered(s, 200, b"ours", 0.2), ANSWERS), (lambda s: answered(s, 0, b"", 0.2), ANSWERS),
+    (lambda s: answered(s, 502, b"", 0.2), None), (lambda s: s.surplus(1), ANSWERS),
+    (lambda s: again(s, True, "closed"), None), (lambda s: again(s, True, "closed, seen late"), None),
+    (lambda s: again(s, True, "closed after"), AT_ONCE), (lambda s: again(s, True, "out"), AT_ONCE),
+    (lambda s: again(s, False, "turned away"), None), (lambda s: again(s, False, "closed"), UNSAFE),
+    (lambda s: refused(s, "turned away"), None), (lambda s: refused(s, "closed"), UNSAFE),
+    (lambda s: drained(s, 2.04), None), (lambda s: drained(s, 2.06), DRAINS),
+    (lambda s: flood(s, "hard", 9, 0.0), None), (lambda s: flood(s, "hard", 10, 0.0), QUOTAS),
+    (lambda s: flood(s, "quota", 20, 0.5), None), (lambda s: flood(s, "quota", 20, 0.25), QUOTAS),
+]
+
+
+@pytest.mark.parametrize("scene, broken", CASES)
+def test_a_rule_is_found_broken_where_it_is(scene, broken):
+    seen = Seen()
+    scene(seen)
+    seen.close(10.0, 0.0)
+    assert set(seen.broken) == ({broken} - {None})
+
+
+def test_what_may_have_been_seen_late_does_not_count_as_late():
+    seen = Seen()
+    drained(seen, 2.3)
+    seen.close(10.0, 0.3)
+    assert not seen.broken
