--- a/scale/standins.py
+++ b/scale/standins.py
@@ -137,6 +137,8 @@
         await self._write(writer, HEARTBEAT)  # the line's end
 
     async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if writer.is_closing():
+            raise ConnectionResetError("the gateway has ended")
         self.bytes += len(data)
         writer.write(data)
         await writer.drain()
