Hand a gateway its clocks, its chance and its listening socket

A gateway took its clocks, random pauses, polls and listening socket straight from the standard library, so no other clock or network could stand in for them. They now come through one small object, elderhub/system.py, with the real one as default; the pause of discovery takes its draw as an argument. Start and end of a gateway can be called without signals and without the collector's settings (elderhub.__main__ begin, drain).

Behaviour is the same. Tests of host, discovery, clients, backends and drain: 190 passed. The other tests were not run on this commit alone.

--- a/elderhub/__main__.py
+++ b/elderhub/__main__.py
@@ -33,6 +33,18 @@
         loop.add_signal_handler(name, stop.set)
     host = Host(config)
     loop.add_signal_handler(signal.SIGHUP, _reload, host, config)
+    ready = await begin(host, config)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    await stop.wait()
+    ready.cancel()
+    await drain(host, config)
+
+
+async def begin(host: Host, config: Config) -> asyncio.Task:
+    """Open all that a gateway needs; returns what waits until it is ready. Raises OSError."""
+    loop = asyncio.get_running_loop()
     host.clients.listen(*config.listen)
     if config.peer_listen is not None:
         await loop.create_datagram_endpoint(lambda: host.peers, local_addr=config.peer_listen)
@@ -41,14 +53,7 @@
         host.counter.start()
     host.listed(config.known)
     host.discovery.start()
-    ready = loop.create_task(_ready(host))
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-    await stop.wait()
-    ready.cancel()
-    await _drain(host, config)
-    host.discovery.stop()
+    return loop.create_task(_ready(host))
 
 
 def _reload(host: Host, config: Config) -> None:
@@ -79,7 +84,8 @@
     host.clients.ready = True
 
 
-async def _drain(host: Host, config: Config) -> None:
+async def drain(host: Host, config: Config) -> None:
+    """From SIGTERM to the end: what was taken is answered, new connections come for a moment yet."""
     loop = asyncio.get_running_loop()
     longest = max((c.deadline_ms for c in config.settings.classes.values()), default=0.0) / 1000.0
     last = loop.time() + min(longest, MOST_DEADLINE_S) + LAST_ANSWERS_S
@@ -92,6 +98,7 @@
     flushed = loop.time() + FLUSH_S
     while host.clients.any_open() and loop.time() < flushed:
         await asyncio.sleep(POLL_S)
+    host.discovery.stop()
 
 
 def main() -> int:
--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -12,6 +12,7 @@
 from cobaltline import interface as io
 
 from .discovery import Listing
+from .system import REAL, System
 from .wire import HOP_BY_HOP, MOST_BYTES, Address
 
 log = logging.getLogger(__name__)
@@ -73,7 +74,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._poll = select.poll()
+        self._poll = pool.poll()
         self._headers: list[bytes] = []
         self._body: list[bytes] = []
         self._unread = self._size = 0  # bytes since the request was written; of the body
@@ -232,7 +233,7 @@
     """One backend: its address, its connections, and the exchanges that wait for one to open."""
 
     def __init__(self, backends: Backends, where: Address):
-        self.loop, self._backends = backends.loop, backends
+        self.loop, self.poll, self._backends = backends.loop, backends.poll, backends
         self.where, self.closed = where, False
         self.all: set[Connection] = set()
         self.free: list[Connection] = []  # the latest used last
@@ -312,8 +313,8 @@
 
 
 class Backends:
-    def __init__(self, settings: io.Settings, keepalive_ms: float, most: int):
-        self.loop = asyncio.get_running_loop()
+    def __init__(self, settings: io.Settings, keepalive_ms: float, most: int, system: System = REAL):
+        self.loop, self.poll = asyncio.get_running_loop(), system.poll
         self.connect_s = settings.connect_timeout_ms / 1000.0
         self.idle_s, self._most = keepalive_ms * IDLE_SHARE / 1000.0, most
         self._places: dict[str, tuple[Address, float]] = {}  # that take new work: where, since when
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -15,6 +15,7 @@
 from cobaltline import interface as io
 
 from .checks import LENGTH, NOT_PASSED_ON, ONCE, Bad, Message, arrived
+from .system import REAL, System
 from .wire import MOST_BYTES, Seldom
 
 log = logging.getLogger(__name__)
@@ -226,7 +227,7 @@
         return self._polled(select.POLLIN)
 
     def _polled(self, events: int) -> bool:
-        poll = select.poll()
+        poll = self._clients.system.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
@@ -270,8 +271,8 @@
 class Clients:
     """All connections of clients: a bounded number, and few that stand idle where there are many."""
 
-    def __init__(self, host: Taker, settings: io.Settings, most: int):
-        self.loop, self.host = asyncio.get_running_loop(), host
+    def __init__(self, host: Taker, settings: io.Settings, most: int, system: System = REAL):
+        self.loop, self.host, self.system = asyncio.get_running_loop(), host, system
         self._settings, self._most = settings, most
         self._room, self._easy = int(most * ROOM_SHARE), int(most * EASY_SHARE)
         self._open: dict[Client, None] = {}
@@ -280,8 +281,7 @@
         self.draining = self.ready = self.over = False
 
     def listen(self, host: str, port: int) -> None:
-        self._listening = socket.create_server((host, port), backlog=BACKLOG)
-        self._listening.setblocking(False)
+        self._listening = self.system.listen(host, port, BACKLOG)
         self._listen()
         self._sweep()
 
--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -180,9 +180,10 @@
     """Keeps a watch open; tells `told` what each list changes, in parts. The last part may hold nothing."""
 
     def __init__(
-            self, where: Address, version: int, told: Callable[[Listing], None], ask_every_s: float = 0.0):
+            self, where: Address, version: int, told: Callable[[Listing], None], ask_every_s: float = 0.0,
+            draw: Callable[[], float] | None = None):
         self._ask_every_s = ask_every_s  # above 0 where calls load a service that all gateways share
-        self._wait = 0.0
+        self._wait, self._draw = 0.0, draw or random.random  # evenly from [0, 1)
         self._where, self._version, self._told = where, version, told
         self._watch: Watch | None = None
         self._lists = 0  # heard so far
@@ -237,7 +238,7 @@
             return BACKOFF_S
         least = min(CALM_MOST_S, self._ask_every_s * CALM_SHARE)
         self._wait = least if heard else min(self._ask_every_s, self._wait * 2 or least)
-        return min(self._wait, max(0.0, NEXT_S - silent_s)) * random.random()
+        return min(self._wait, max(0.0, NEXT_S - silent_s)) * self._draw()
 
     async def _watched(self) -> None:
         """One watch from its start to its end."""
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -11,7 +11,6 @@
 import gc
 import logging
 import math
-import time
 from collections import deque
 
 from cobaltline import Gateway
@@ -24,6 +23,7 @@
 from .counter import Counter
 from .discovery import Discovery, Listing
 from .peers import Peers
+from .system import REAL, System
 from .wire import Address, report
 
 log = logging.getLogger(__name__)
@@ -39,11 +39,12 @@
 class Clock:
     """Unix time in ms, carried by the monotonic clock: in step between machines, never backwards."""
 
-    def __init__(self) -> None:
-        self._start = time.time() * 1000.0 - time.monotonic() * 1000.0
+    def __init__(self, system: System = REAL) -> None:
+        self._monotonic = system.monotonic
+        self._start = system.unix_time() * 1000.0 - system.monotonic() * 1000.0
 
     def now(self) -> float:
-        return self._start + time.monotonic() * 1000.0
+        return self._start + self._monotonic() * 1000.0
 
 
 class Held:
@@ -63,9 +64,9 @@
 
 
 class Host:
-    def __init__(self, config: Config):
+    def __init__(self, config: Config, system: System = REAL):
         self._loop = asyncio.get_running_loop()
-        self._clock = Clock()
+        self._clock = Clock(system)
         self.now = self._clock.now
         settings = config.settings
         self._module = Gateway(settings, config.seed)
@@ -77,13 +78,14 @@
         self._entries = 0  # of lists, since what is kept of them was taken out of the collector's sight
         left = config.sockets - OWN_SOCKETS
         self.clients = Clients(
-            self, settings, int(min(config.sockets * CLIENT_SHARE, left * CLIENT_PART)))
+            self, settings, int(min(config.sockets * CLIENT_SHARE, left * CLIENT_PART)), system)
         self.backends = Backends(
-            settings, config.keepalive_ms, int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART)))
+            settings, config.keepalive_ms, int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART)),
+            system)
         self.counter = Counter(config.counter, settings.counter_wait_ms, self.put) if config.counter else None
         self.discovery = Discovery(
             config.discovery, config.known.event.version, self.listed,
-            settings.ask_every_ms / 1000.0 if settings.must_ask else 0.0)
+            settings.ask_every_ms / 1000.0 if settings.must_ask else 0.0, system.random)
         self.discovery.remember(config.known)
         self.peers = Peers(config, self.put)
         self._do = {
