--- a/tests/virtual.py
+++ b/emulator/virtual.py
@@ -1,34 +1,41 @@
 """An event loop whose clock stands still while anything is to be done, and else jumps to the next timer.
 
-What it plays takes no real time and is the same on any machine. It has no network: `connect` stands in.
+What it plays takes no real time and is the same on any machine. `run` plays a scene on one loop of its own,
+with no network: `connect` stands in. `emulator.machine` sets many such loops on one clock.
 """
 
+from __future__ import annotations
+
 import asyncio
 import selectors
 
 
 class Selector(selectors.SelectSelector):
-    """Moves the clock on in place of waiting."""
+    """Asks the loop in place of waiting. Nothing real ever happens to it."""
 
-    def __init__(self, loop):
+    def __init__(self, loop: Loop):
         super().__init__()
         self._loop = loop
 
     def select(self, timeout=None):
-        assert timeout is not None, "nothing will ever happen"
-        self._loop.now += timeout
-        return super().select(0)
+        self._loop.rest(timeout)
+        return []
 
 
 class Loop(asyncio.SelectorEventLoop):
     def __init__(self, connect=None):
-        self.now = 0.0
+        self.now = 0.0  # s
         super().__init__(Selector(self))
         self._connect = connect
 
-    def time(self):
+    def time(self) -> float:
         return self.now
 
+    def rest(self, timeout_s: float | None) -> None:
+        """Nothing is to be done for so long (0: something is; None: nothing ever)."""
+        assert timeout_s is not None, "nothing will ever happen"
+        self.now += timeout_s
+
     async def create_connection(self, factory, host=None, port=None, **options):
         return await self._connect(factory(), host, port)
 
--- a/scale/counter.py
+++ b/scale/counter.py
@@ -52,26 +52,35 @@
             self._unheard(ask, sent, answer)
             return
         now = self._clock.now
-        part = zlib.crc32(ask.name.encode()) % len(self._free_at)
-        line_ms = max(0.0, self._free_at[part] - now)
-        if line_ms > LINE * self._wait_ms:
+        found = self.add(ask.name, ask.amount, ask.ttl_ms)
+        if found is None:
             self.unanswered += 1
             result = io.CountResult(ask.name, io.Outcome.FULL, 0.0, now + link_ms - sent)
             self._clock.at(now + link_ms, answer, result)
             return
-        done = self._free_at[part] = now + line_ms + self._service_ms * self.slow
-        number = self._numbers.get(ask.name)
-        if number is None or number[1] <= now:
-            number = self._numbers[ask.name] = [0.0, now + ask.ttl_ms]
-            self.most_names = max(self.most_names, len(self._numbers))
-        number[0] += ask.amount
+        done, total = found
         took = done + link_ms - sent
         if took > self._wait_ms:
             self._unheard(ask, sent, answer)
         else:
-            result = io.CountResult(ask.name, io.Outcome.OK, float(f"{number[0]:.7g}"), took)
+            result = io.CountResult(ask.name, io.Outcome.OK, float(f"{total:.7g}"), took)
             self._clock.at(done + link_ms, answer, result)
 
+    def add(self, name: str, amount: float, ttl_ms: float) -> tuple[float, float] | None:
+        """A call has come: when its answer leaves, in ms, and the total; None where it is turned away."""
+        now = self._clock.now
+        part = zlib.crc32(name.encode()) % len(self._free_at)
+        line_ms = max(0.0, self._free_at[part] - now)
+        if line_ms > LINE * self._wait_ms:
+            return None
+        done = self._free_at[part] = now + line_ms + self._service_ms * self.slow
+        number = self._numbers.get(name)
+        if number is None or number[1] <= now:
+            number = self._numbers[name] = [0.0, now + ttl_ms]
+            self.most_names = max(self.most_names, len(self._numbers))
+        number[0] += amount
+        return done, number[0]
+
     def begin_record(self) -> None:
         """Count from now on what `calls` and `unanswered` tell."""
         self.calls.clear()
--- a/scale/links.py
+++ b/scale/links.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 SAME_MS = 0.2  # one way inside a zone; the site draws 0.08 to 0.35
 ZONE_MS = 2.0  # between zones of a region; the site draws 1.4 to 2.6
 REGION_MS = 15.0  # between regions, some thousand km of fibre apart
@@ -15,6 +17,7 @@
         self._region = {zone: number % regions for number, zone in enumerate(self.zones)}
         self.cut: set[str] = set()  # zones that reach only what is in a zone of the same group
         self._group: dict[str, int] = {}
+        self.on_heal: Callable[[], None] = lambda: None
         self._delay = {(a, b): self._between(a, b) for a in self.zones for b in self.zones}
 
     def _between(self, a: str, b: str) -> float:
@@ -38,6 +41,7 @@
     def heal(self) -> None:
         self.cut.clear()
         self._group.clear()
+        self.on_heal()
 
     def reach(self, a: str, b: str) -> bool:
         return not self.cut or self._group.get(a, 0) == self._group.get(b, 0)
--- a/scale/world.py
+++ b/scale/world.py
@@ -90,6 +90,10 @@
             self.gateways.append(self._gateway(number))
         if o.warm_up:
             self.clock.at(BEGIN_MS + o.warm_up * 1000.0, self._begin_record)
+        self._set_faults()
+
+    def _set_faults(self) -> None:
+        o = self.options
         for fault in o.faults:
             self.clock.at(BEGIN_MS + o.fault_at * 1000.0, FAULTS[fault].call, self, o.fault_for * 1000.0)
 
@@ -109,11 +113,12 @@
     def _gateway(self, number: int) -> HollowGateway:
         zone = self.links.zones[number % self.options.zones]
         found = HollowGateway(
-            self, number, zone, self._settings(number, zone), self.rng.getrandbits(48), **self._module)
+            self, number, zone, self.settings(number, zone), self.rng.getrandbits(48), **self._module)
         self.discovery.join(found)
         return found
 
-    def _settings(self, number: int, zone: str) -> io.Settings:
+    def settings(self, number: int, zone: str) -> io.Settings:
+        """What that gateway is told at its start."""
         return io.Settings(
             me=number, gateways=self.options.fleet or self.options.gateways, zone=zone, tick_ms=4.0,
             classes={kind.io_class.name: kind.io_class for kind in KINDS}, plans=self.clients.plans,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,7 +5,6 @@
 import json
 
 import pytest
-import virtual
 from test_config import loaded
 from test_config import told as configured
 from world import Backend, Discovery, World, ok, request, run, until
@@ -14,6 +13,7 @@
 from elderhub import discovery as watching
 from elderhub import host
 from elderhub.lists import Reader
+from emulator import virtual
 
 
 def entry(name, port=1, lifecycle="Ready", **more):
