--- a/emulator/agent.py
+++ b/emulator/agent.py
@@ -63,6 +63,7 @@
         self.version = 0
         self._changes: list[tuple[int, tuple[io.Backend, ...]]] = []
         self._watches: dict[Watch, None] = {}
+        self._on_the_way: list[io.BackendsChanged] = []  # to it while it learned nothing
         self._silent_since: float | None = None  # the open watches are, and no new one has come
         machine = Machine(world.network, f"agent-{number}", zone)
         self._listener = machine.listen(self.address, 64, self._accept)
@@ -78,15 +79,25 @@
         return w.discovery.down or not w.links.reach(self.zone, w.links.zones[0])
 
     def _beat(self) -> None:
-        self._answer_all()
         if not self._down:
+            late, self._on_the_way = self._on_the_way, []
+            for event in late:
+                self._learn(event)
+            self._answer_all()
             for watch in self._watches:
                 if watch.begun and not watch.mute:
                     watch.chunk(b"\n")
         self._world.clock.at(self._world.clock.now + HEARTBEAT_MS, self._beat)
 
     def listed(self, event: io.BackendsChanged) -> None:
-        """Discovery has told it a list: what a gateway's own agent has counts as told."""
+        """Discovery has told it a list. While that is down, it learns nothing."""
+        if self._down or self._on_the_way:
+            self._on_the_way.append(event)
+        else:
+            self._learn(event)
+
+    def _learn(self, event: io.BackendsChanged) -> None:
+        """What a gateway's own agent has counts as told."""
         now = self._world.clock.now
         before = self.known
         if event.kind is io.ListKind.CHANGES:
--- a/emulator/checks.py
+++ b/emulator/checks.py
@@ -18,6 +18,8 @@
 LEFT_MS = 100.0  # an attempt that begins so long after its client left is begun for nobody
 SILENT_MS = 6000.0  # what a silent watch misses counts as told so long after it fell silent
 READY_MS = 6000.0  # a gateway that starts is ready by then
+UNREAD_SHARE = 200  # of the requests, one in so many may find its new connection closed with no answer
+CLOSED, TIME_UP = "its connection was ended", "its time is up"  # why there is no answer
 KEPT = 5  # examples of each broken rule
 
 
@@ -56,7 +58,11 @@
 
 
 class Checks:
-    def __init__(self) -> None:
+    """`crowded`: idle clients fill the descriptors; new connections may then be closed or left unread."""
+
+    def __init__(self, crowded: bool = False) -> None:
+        self._crowded = crowded
+        self.unread = 0  # requests whose new connection was closed, and nothing sent on
         self.broken: Counter[str] = Counter()
         self.examples: list[tuple[float, str, str]] = []  # when, rule, id or whom it was about
         self.asked: dict[str, Asked] = {}
@@ -93,11 +99,17 @@
             self.breaks(now, "sent on after its end", asked.name)
         return asked.final
 
-    def unanswered(self, now: float, asked: Asked, why: str) -> None:
-        """Its connection ended without an answer, or its time is up: it is lost."""
+    def unanswered(self, now: float, asked: Asked, why: str, new: bool) -> None:
+        """Its connection ended without an answer, or its time is up: it is lost. Not so on a new connection
+        of which nothing was sent on: such may be closed, if they are few."""
         asked.trace.append((now, f"client gets no answer: {why}"))
         asked.final = asked.final or "lost"
-        self.breaks(now, f"no final answer: {why}", asked.name)
+        if new and not asked.attempts and (why == CLOSED or self._crowded):
+            self.unread += 1
+            if not self._crowded and self.unread > max(1, len(self.asked) // UNREAD_SHARE):
+                self.breaks(now, "too many new connections closed with no answer", asked.name)
+        else:
+            self.breaks(now, f"no final answer: {why}", asked.name)
 
     def died(self, now: float, asked: Asked) -> None:
         """Its gateway has died with it."""
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -13,6 +13,7 @@
 from .gateway import DOWN_MS
 
 LEAVE_MS = 200.0  # a client that leaves in a burst does so within this of sending
+STILL_MOST_S = 0.4  # drawn; one that stands still for over 0.5 s answers too late, whatever it does
 STILL_EVERY_MS = (200.0, 1500.0)  # between the times that a gateway stands still
 CROWD_MS = 200.0  # idle connections of a crowd come within this
 
@@ -39,8 +40,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Kind:
+    """`parts` and `sizes`: what a search draws from."""
+
     about: str
     call: Callable
+    parts: tuple[float, float] = (0.1, 1.0)
+    sizes: tuple[float, float] = (1.0, 1.0)
 
 
 def _chosen(found: list, fault: Fault, rng: Random) -> list:
@@ -189,24 +194,27 @@
     return Kind(found.about, lambda world, fault, rng: found.call(world, fault.for_s * 1000.0))
 
 
+FEW = (0.02, 0.5)
 KINDS: dict[str, Kind] = {
     **{name: _of_fleet(name) for name in WHOLE_FLEET},
     "kill": Kind("part of the gateways are killed, and start again after 2 s", _kill),
     "drain": Kind("part of the gateways get SIGTERM, one after another, and start again", _drain),
-    "stand-still": Kind("part of the gateways stand still again and again, for `size` s", _stand_still),
+    "stand-still": Kind("part of the gateways stand still again and again, for `size` s", _stand_still,
+                        sizes=(0.05, STILL_MOST_S)),
     "watch-silent": Kind("the open watches of part of the gateways say nothing any more", _watch_silent),
     "watch-reset": Kind("the open watches of part of the gateways are reset", _watch_reset),
     "discovery-down": Kind("discovery is down: its agents are silent and learn nothing", _discovery_down),
-    "hang": Kind("part of the backends take requests and answer when it is over", _hang),
-    "slow": Kind("part of the backends take `size` times as long on top", _slow),
-    "leave": Kind("part of the backends begin to drain, and stay up", _leave),
-    "lost": Kind("part of the answers are lost, their connections silent", _answers("lost")),
-    "reset": Kind("part of the answers are a reset", _answers("resets")),
-    "noise": Kind("part of the answers can't be read", _answers("noise")),
+    "hang": Kind("part of the backends take requests and answer when it is over", _hang, FEW),
+    "slow": Kind("part of the backends take `size` times as long on top", _slow, sizes=(1.0, 9.0)),
+    "leave": Kind("part of the backends begin to drain, and stay up", _leave, FEW),
+    "lost": Kind("part of the answers are lost, their connections silent", _answers("lost"), FEW),
+    "reset": Kind("part of the answers are a reset", _answers("resets"), FEW),
+    "noise": Kind("part of the answers can't be read", _answers("noise"), FEW),
     "second": Kind("part of the answers come a second time, some ms late", _answers("doubled")),
-    "connect-late": Kind("part of the connections to backends come up late, up to `size` s", _connect_late),
-    "connect-never": Kind("part of the connections to backends never come up", _connect_never),
-    "crowd": Kind("`size` idle connections come to part of the gateways", _crowd),
+    "connect-late": Kind("part of the connections to backends come up late, up to `size` s", _connect_late,
+                         sizes=(0.2, 1.5)),
+    "connect-never": Kind("part of the connections to backends never come up", _connect_never, FEW),
+    "crowd": Kind("`size` idle connections come to part of the gateways", _crowd, sizes=(20.0, 400.0)),
     "leavers": Kind("part of the requests' clients go within 0.2 s", _leavers),
     "zone-cut": Kind("the last zone is cut off from the others", _zone_cut),
 }
--- a/emulator/front.py
+++ b/emulator/front.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import re
+from collections import deque
 
 from cobaltline import interface as io
 from scale.clients import KINDS, Try
 
-from .checks import LATE_MS, READY_MS, Asked
+from .checks import CLOSED, LATE_MS, READY_MS, TIME_UP, Asked
 from .network import Address, Machine, Socket, Stream
 
 HEALTH_MS = 100.0  # between two questions whether a gateway that starts is ready
@@ -15,6 +16,7 @@
 LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 RETRY_AFTER = re.compile(rb"\r\nretry-after: *([0-9.]+)", re.IGNORECASE)
 CLOSE = re.compile(rb"\r\nconnection: *close", re.IGNORECASE)
+SHARE = 3  # of a gateway's descriptors, one in so many is held by connections with requests at most
 BODIES = (40, 400, 12_000)  # bytes of a request that has a body, by its number
 
 
@@ -25,6 +27,7 @@
         self._front, self._data = front, bytearray()
         self.asked: Asked | None = asked
         self._text = text
+        front.opened()
         self._used = 0  # requests answered on it
         self.stream: Stream | None = None
         self._sock = front.machine.network.connect(front.machine, front.address, self._up, self._refused)
@@ -35,13 +38,17 @@
 
     def _refused(self, error: OSError) -> None:
         asked, self.asked = self.asked, None
-        self._sock.close()
+        self.close()
         self._front.refused(asked)
 
     def ask(self, asked: Asked, text: bytes) -> None:
         self.asked, self._text, self._data = asked, text, bytearray()
         self.stream.send(text)
 
+    def new(self) -> bool:
+        """Nothing was answered on it yet."""
+        return self._used == 0
+
     def usable(self) -> bool:
         return not (self._sock.ended or self._sock.reset or self._sock.closed)
 
@@ -79,10 +86,12 @@
         if self in self._front.idle:
             self._front.idle.remove(self)
         if asked is not None:
-            self._front.broken_off(asked, self._text, self._used > 0 and not self._data)
+            self._front.broken_off(asked, self._text, self.new(), bool(self._data))
 
     def close(self) -> None:
-        self._sock.close()
+        if not self._sock.closed:
+            self._sock.close()
+            self._front.closed()
 
 
 class Idler:
@@ -106,10 +115,33 @@
         self.machine = Machine(world.network, f"clients-{gateway.number}", gateway.zone)
         self.idle: list[Caller] = []  # the latest used last
         self._callers: dict[str, Caller] = {}  # by the request that is out on it
+        self._most, self._open = world.options.sockets // SHARE, 0
+        self._waiting: deque[tuple[Try, io.RequestArrived]] = deque()  # for a connection
 
     # Requests.
 
     def take(self, t: Try, event: io.RequestArrived) -> None:
+        """A client has a request. With too many connections open, it waits until one is free."""
+        if self.idle or self._open < self._most:
+            self._begin(t, event)
+        else:
+            self._waiting.append((t, event))
+
+    def _next(self) -> None:
+        while self._waiting and (self.idle or self._open < self._most):
+            t, event = self._waiting.popleft()
+            if not t.done and self._world.clock.now < t.deadline:
+                self._begin(t, event)
+
+    def opened(self) -> None:
+        self._open += 1
+
+    def closed(self) -> None:
+        self._open -= 1
+        if self._waiting:
+            self._world.clock.at(self._world.clock.now, self._next)
+
+    def _begin(self, t: Try, event: io.RequestArrived) -> None:
         now = self._world.clock.now
         number = int(t.request[1:])
         kind = KINDS[t.kind].io_class
@@ -142,11 +174,11 @@
 
     def leave(self, t: Try) -> None:
         """Its client goes: its connection closes."""
-        asked = self._world.checks.asked[f"{int(t.request[1:]):016x}"]
-        caller = self._callers.pop(asked.name, None)
+        asked = self._world.checks.asked.get(f"{int(t.request[1:]):016x}")
+        t.done = True
+        caller = self._callers.pop(asked.name, None) if asked is not None else None
         if caller is None or asked.final:
             return
-        t.done = True
         now = self._world.clock.now
         caller.asked = None
         caller.close()
@@ -159,6 +191,7 @@
         self._callers.pop(asked.name, None)
         how = w.checks.answered(w.clock.now, asked, status, body, sent_at)
         w.answered(asked, how, after_ms)
+        self._next()
 
     def unasked(self, data: bytes) -> None:
         self._world.checks.breaks(
@@ -171,19 +204,19 @@
         asked.trace.append((self._world.clock.now, "no gateway listens"))
         self._world.ended(asked, "unreachable")
 
-    def broken_off(self, asked: Asked, text: bytes, again: bool) -> None:
-        """Its connection has ended with no whole answer. One that was used before may have crossed."""
+    def broken_off(self, asked: Asked, text: bytes, new: bool, begun: bool) -> None:
+        """Its connection has ended with no whole answer. On one that was used before, the two may cross."""
         w, now = self._world, self._world.clock.now
         self._callers.pop(asked.name, None)
         if asked.life != self._gateway.life or self._gateway.killed():
             w.checks.died(now, asked)
             w.record.lost += 1
             w.ended(asked, "lost")
-        elif again and not asked.attempts:
+        elif not (new or begun or asked.attempts):
             asked.trace.append((now, "its connection was closed: sent once more"))
             self._send(asked, text)
         else:
-            w.checks.unanswered(now, asked, "its connection was ended")
+            w.checks.unanswered(now, asked, CLOSED, new)
             w.ended(asked, "failed")
 
     def _overdue(self, asked: Asked) -> None:
@@ -197,7 +230,7 @@
             w.checks.died(now, asked)
             w.record.lost += 1
         else:
-            w.checks.unanswered(now, asked, "its time is up")
+            w.checks.unanswered(now, asked, TIME_UP, caller.new())
 
     # Whether it is ready.
 
--- a/emulator/gateway.py
+++ b/emulator/gateway.py
@@ -38,6 +38,7 @@
         self.running = self.is_ready = False
         self.died = float("inf")  # when; infinite while the front has it
         self._term_at = float("inf")  # when it was told to end
+        self._killed = False
         self._machine: ProgramMachine | None = None
         self._most_files = 0  # of lives that are over
         self.host: Host | None = None
@@ -49,6 +50,7 @@
         """A new process."""
         self.life += 1
         self.running, self.is_ready, self._term_at = True, False, float("inf")
+        self._killed = False
         self._stop = asyncio.Event()
         machine = self._machine = ProgramMachine(
             self._world.network, f"gateway-{self.number}", self.zone, self._world.options.sockets,
@@ -97,6 +99,7 @@
         return max(self._most_files, self._machine.most_files)
 
     def kill(self) -> None:
+        self._killed = self._killed or self.running
         self._end(self.life, True)
 
     def end(self) -> None:
@@ -115,8 +118,8 @@
             self.died = min(self.died, self._world.clock.now)
 
     def killed(self) -> bool:
-        """It does not run, and was given no time to end."""
-        return not self.running and self._term_at == float("inf")
+        """It does not run, and was given no time to end, or less than it is owed."""
+        return self._killed
 
     def stand_still(self, for_ms: float) -> None:
         self._machine.stand_still(for_ms)
--- a/scale/faults.py
+++ b/scale/faults.py
@@ -115,7 +115,8 @@
 
 
 def _reweigh(world, name: str, weight: float) -> None:
-    world.discovery.change([replace(world.discovery.entries[name], weight=weight)])
+    if name in world.discovery.entries:  # not removed meanwhile
+        world.discovery.change([replace(world.discovery.entries[name], weight=weight)])
 
 
 def counter_slow(world, for_ms: float) -> None:
