Play the emulator and its search from the command line

Change: `rosehitch emulate` and `rosehitch search`, in `emulator/command.py`. Commands of other packages are imported only when one is asked for; where their packages are missing, they say which extra brings them.

--- a/rosehitch/__main__.py
+++ b/rosehitch/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import logging
 import os
 import sys
@@ -12,7 +13,37 @@
 DEMO_LEAST_S, DEMO_MOST_S = 3.0, 600.0  # a drain needs its time to be checked; a demo keeps all its requests
 
 
-@click.group()
+LATE = {  # commands of other packages, which are imported only when one is asked for
+    "emulate": "emulator.command", "search": "emulator.command",
+}
+EXTRA = "needs packages that are missing here: pip install '.[scale]'"
+
+
+class Commands(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *LATE])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in LATE:
+            return super().get_command(ctx, cmd_name)
+        try:
+            return getattr(importlib.import_module(LATE[cmd_name]), cmd_name)
+        except ImportError as error:
+            return lacking(cmd_name, error)
+
+
+def lacking(name: str, error: ImportError) -> click.Command:
+    """In place of a command whose packages are not installed."""
+    @click.pass_context
+    def callback(ctx: click.Context, **_) -> None:
+        raise click.ClickException(f"{name} {EXTRA} ({error})")
+
+    anything = click.Argument(["anything"], nargs=-1, type=click.UNPROCESSED)
+    return click.Command(name, callback=callback, params=[anything], help=f"({EXTRA})",
+                         context_settings={"ignore_unknown_options": True})
+
+
+@click.group(cls=Commands)
 def main() -> None:
     """A gateway that holds each customer to a quota shared by all gateways."""
 
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -1,5 +1,6 @@
 """The command `rosehitch`."""
 
+import dataclasses
 import json
 import os
 import re
@@ -13,6 +14,7 @@
 from test_config import told
 from world import ROOT, Backend, World, request, run, settings
 
+from emulator import command
 from rosehitch.__main__ import main
 
 LIMIT_S = 120.0  # for a process: generous, as it only tells a hang
@@ -109,3 +111,34 @@
     assert out.splitlines()[-1].startswith("interrupted; ") and out.endswith("; rules kept: 5 of 5\n")
     assert not list(tmp_path.iterdir())
     assert not any(Path(f"/proc/{child}").exists() for child in children)
+
+
+EMULATE = ["emulate", "--gateways", "2", "--backends", "2", "--seconds", "1"]
+
+
+def test_an_emulated_play_ends_with_0_only_if_all_rules_were_kept(tmp_path, monkeypatch):
+    file = tmp_path / "record.json"
+    found = CliRunner().invoke(main, [*EMULATE, "--fault", "leave,at_s=0.5,part=0.5", "--json", str(file)])
+    assert found.exit_code == 0 and found.stdout.endswith("\nall rules kept\n")
+    again = json.loads(file.read_text())["again"]
+    assert "Fault(kind='leave', at_s=0.5, for_s=5.0, part=0.5, size=1.0)" in again
+    play = command.play
+    monkeypatch.setattr(
+        command, "play", lambda options: dataclasses.replace(play(options), broken={"a rule": 2}))
+    found = CliRunner().invoke(main, EMULATE)
+    assert found.exit_code == 1 and "broken: a rule, 2 times" in found.stdout
+
+
+@pytest.mark.parametrize("fault, wrong", [
+    ("storm", "kind: 'storm'"), ("kill,when=3", "'when' is none of at_s"), ("kill,at_s=x", "at_s: 'x'"),
+    ("kill,part=2", "part: 2.0")])
+def test_a_fault_that_cannot_be_played_is_told_by_name(fault, wrong):
+    found = CliRunner().invoke(main, [*EMULATE, "--fault", fault])
+    assert found.exit_code == 2 and wrong in found.stderr
+
+
+def test_a_command_whose_packages_are_missing_says_which_extra_brings_them(monkeypatch):
+    monkeypatch.setitem(sys.modules, "emulator.command", None)
+    found = CliRunner().invoke(main, EMULATE)
+    assert found.exit_code == 1 and "pip install '.[scale]'" in found.stderr
+    assert CliRunner().invoke(main, ["--help"]).exit_code == 0
