--- a/scale/clients.py
+++ b/scale/clients.py
@@ -223,13 +223,16 @@
         w.record.first_tries += 1
         if t.inside:
             w.record.worth_asked += t.worth
-            w.second(now).asked += t.worth
+            second = w.second(now)
+            second.asked += t.worth
+            second.asked_by_plan[plan.name] += t.worth
         self._go(t, self._gateway[number])
 
     def _go(self, t: Try, gateway: int) -> None:
         w, plan = self._world, self._plan[t.customer]
         w.record.tries += 1
         w.record.tries_by_plan[plan.name] += 1
+        w.second(w.clock.now).tries += 1
         if self._leave and self._rng.random() < self._leave:
             w.clock.at(w.clock.now + self._rng.uniform(0.0, 200.0), self._go_away, t)
         t.gateway = gateway = self._front(t.customer, gateway)
@@ -261,11 +264,14 @@
         now = w.clock.now
         if how == "served":
             w.record.served += 1
+            w.record.answered.record_value(max(1, int((now - t.first_at) * 1000.0)))
             if now - t.first_at > KINDS[t.kind].io_class.aim_ms:
                 w.record.served_late += 1
             elif t.inside:
                 w.record.worth_served += t.worth
-                w.second(t.first_at).served += t.worth
+                second = w.second(t.first_at)
+                second.served += t.worth
+                second.served_by_plan[self._plan[t.customer].name] += t.worth
             return
         safe = KINDS[t.kind].io_class.repeat is io.Repeat.SAFE
         if t.number >= RETRIES or not safe and how not in ("refused", "unreachable"):
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -317,6 +317,7 @@
             name = getattr(event, "name", action.name)
             plan = self._plan_of.get(name) or self._plan_of.get(action.name, "other")
         self._plan_of[action.name] = plan
+        self.world.second(self.world.clock.now).calls += 1
         self.world.counter.call(self.zone, action, plan, self.put)
 
     def _probe(self, action: io.Probe) -> None:
--- a/scale/record.py
+++ b/scale/record.py
@@ -23,6 +23,10 @@
     asked: float = 0.0  # inside the quotas, by first tries
     served: float = 0.0  # of that, within the aim
     beyond: float = 0.0  # cost of what was sent on beyond the quotas
+    tries: int = 0
+    calls: int = 0  # to the counter
+    asked_by_plan: Counts[str] = field(default_factory=Counts)  # as `asked`
+    served_by_plan: Counts[str] = field(default_factory=Counts)  # as `served`
 
 
 @dataclass(slots=True)
@@ -56,6 +60,7 @@
     outcomes: Counts[str] = field(default_factory=Counts)
     decided: HdrHistogram = field(default_factory=histogram)  # arrival to the first attempt
     added: HdrHistogram = field(default_factory=histogram)  # and until its connection was ready
+    answered: HdrHistogram = field(default_factory=histogram)  # first try to the answer, where it was served
     seconds: list[Second] = field(default_factory=list)
 
 
@@ -77,11 +82,15 @@
     loads = [b.busy_ms / b.cores for b in backends]
     cold = [b.cold_load for b in backends if b.cold_load]
     sent = r.inside + r.beyond
+    asked_by_plan = sum((second.asked_by_plan for second in r.seconds), Counts())
+    served_by_plan = sum((second.served_by_plan for second in r.seconds), Counts())
     return {
         "first_tries": r.first_tries, "tries": r.tries, "sent_inside": r.inside, "sent_beyond": r.beyond,
         "served": r.served, "served_late": r.served_late, "refused": r.refused, "failed": r.failed,
         "lost": r.lost, "left": r.left, "attempts": r.attempts,
         "served_worth_share": share(r.worth_served, r.worth_asked),
+        "served_worth_share_by_plan": {
+            plan: share(served_by_plan[plan], worth) for plan, worth in sorted(asked_by_plan.items())},
         "beyond_price": share(r.beyond_cost, r.worth_asked),
         "beyond_worth_share": share(r.worth_beyond, r.worth_inside + r.worth_beyond),
         "refused_with_room_share": share(r.refused_with_room, r.tries),
@@ -90,6 +99,8 @@
         "to_first_attempt_ms_p99": _ms(r.decided, 99.0),
         "added_ms_p50": _ms(r.added, 50.0),
         "added_ms_p99": _ms(r.added, 99.0),
+        "answered_ms_p50": _ms(r.answered, 50.0),
+        "answered_ms_p99": _ms(r.answered, 99.0),
         "waited_for_call_share": share(r.waited, sent),
         "counter_calls_per_try": share(counter.calls.total(), r.tries),
         "counter_calls_per_first_try": share(counter.calls.total(), r.first_tries),
