--- a/experiments/command.py
+++ b/experiments/command.py
@@ -69,7 +69,7 @@
 
     Differences are B less A, over the figures that A's experiment compares. Outside the noise (higher or
     lower): two-sided exact sign test over the seeds, corrected for the number of figures by Holm, p under
-    0.05. A verdict takes 6 seeds or more, with 6 figures 8.
+    0.05. That takes 6 seeds or more; with 6 figures 8.
     """
     try:
         first, second = results.read(a), results.read(b)
@@ -91,14 +91,10 @@
         _tell(f"{alone} runs have no partner and are left out")
     for name, pairs in settings.items():
         _tell(f"{name} differs: {'; '.join(f'{mine} and {its}' for mine, its in pairs)}")
-    rows = []
-    for figure in found:
-        rows.append((
-            figure.figure, "all", "", "", figure.difference, "", figure.seeds, f"{figure.p:.3g}",
-            figure.verdict))
-        rows += [
-            ("", at.point, at.a, at.b, at.difference, f"[{at.least:.4g}, {at.most:.4g}]", at.seeds, "", "")
-            for at in figure.points]
+    rows = [
+        ("" if place else figure.figure, at.point, at.a, at.b, at.median, f"[{at.least:.4g}, {at.most:.4g}]",
+         at.seeds, f"{at.p:.3g}", at.verdict)
+        for figure in found for place, at in enumerate(figure.differences)]
     head = ("figure", "point", "A", "B", "B - A, median", "least and most", "seeds", "p", "verdict")
     click.echo(table(head, rows))
     click.echo(f"Higher or lower: {noise.TEST}.")
--- a/experiments/noise.py
+++ b/experiments/noise.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from math import comb
 from statistics import median
@@ -11,8 +11,10 @@
 
 SURE = 0.05  # p below this, after Holm's correction, is called outside the noise
 TEST = (
-    "two-sided exact sign test over the seeds (of each, the median difference over the points), p corrected "
-    "by Holm for the number of figures, under 0.05")
+    "two-sided exact sign test over the seeds, p corrected by Holm for the number of figures at that point, "
+    "under 0.05")
+ALL = "all points"
+Pairs = dict[str, dict[int, list[tuple[float, float]]]]  # figure, seed: values of a and b
 
 
 def flat(figures: dict, names: Iterable[str] | None = None) -> dict[str, float]:
@@ -46,87 +48,84 @@
 
 
 @dataclass(frozen=True, slots=True)
-class At:
-    """One point of the sweep; differences are b less a, over its seeds."""
-
-    point: str
-    seeds: int
-    a: float  # median
-    b: float
-    difference: float  # median
-    least: float
-    most: float
-
-
-@dataclass(frozen=True, slots=True)
-class Compared:
-    """One figure over all pairs. Points of one seed share much of their day, so that they are no trials of
-    their own: a seed has one difference, the median of those at its points.
+class Difference:
+    """B less a over the seeds, at one point of the sweep, or at `ALL`. There a seed has the median of its
+    differences: points of one seed share much of their day, and are no trials of their own.
 
     `verdict`: outside the noise (`higher` or `lower`: b than a), `within noise`, `equal` (no pair differs),
     or `too few seeds` (even if all agreed, they could not lie outside).
     """
 
-    figure: str
+    point: str
     seeds: int
-    difference: float  # median over seeds
-    p: float  # corrected
+    a: float  # median over all pairs
+    b: float
+    median: float
+    least: float
+    most: float
+    p: float  # corrected for the figures at this point
     verdict: str
-    points: tuple[At, ...]
 
     @property
     def outside(self) -> bool:
         return self.verdict in ("higher", "lower")
 
 
-def _at(point: str, pairs: list[tuple[float, float]]) -> At:
-    differences = [b - a for a, b in pairs]
-    return At(
-        point, len(pairs), median(a for a, _ in pairs), median(b for _, b in pairs), median(differences),
-        min(differences), max(differences))
+@dataclass(frozen=True, slots=True)
+class Compared:
+    """One figure at each point, and over all of them where there is more than one."""
+
+    figure: str
+    differences: tuple[Difference, ...]
 
 
 def paired(a: Iterable[dict], b: Iterable[dict], names: Iterable[str]) -> list[Compared]:
     """Records of equal point and seed side by side, figure by figure. The caller sees to it that each has
     one partner at most."""
     others = {(record["point"], record["seed"]): record for record in b}
-    values: dict[str, dict[tuple[str, int], tuple[float, float]]] = {}
+    pairs: dict[str, Pairs] = {}  # of each point, in the order of the sweep
     names = list(names)
     for record in a:
-        place = record["point"], record["seed"]
-        if place in others:
-            mine, its = flat(record["figures"], names), flat(others[place]["figures"], names)
+        other = others.get((record["point"], record["seed"]))
+        if other is not None:
+            mine, its = flat(record["figures"], names), flat(other["figures"], names)
             for figure in mine.keys() & its.keys():
-                values.setdefault(figure, {})[place] = mine[figure], its[figure]
+                found = pairs.setdefault(record["point"], {}).setdefault(figure, {})
+                found.setdefault(record["seed"], []).append((mine[figure], its[figure]))
+    if len(pairs) > 1:
+        whole = pairs[ALL] = {}
+        for point in list(pairs)[:-1]:
+            for figure, seeds in pairs[point].items():
+                for seed, values in seeds.items():
+                    whole.setdefault(figure, {}).setdefault(seed, []).extend(values)
     order = {name: place for place, name in enumerate(names)}
-    figures = sorted(values, key=lambda figure: (order[figure.split(".")[0]], figure))
-    by_seed = [
-        [median(its - mine for mine, its in pairs) for pairs in _grouped(values[figure], 1).values()]
-        for figure in figures]
-    ps = holm([sign_test(differences) for differences in by_seed])
+    found: dict[str, list[Difference]] = {}
+    for point, figures in pairs.items():
+        for figure, difference in _at(point, figures):
+            found.setdefault(figure, []).append(difference)
     return [
-        Compared(
-            figure, len(differences), median(differences), p,
-            _verdict(differences, p, len(figures), all(a == b for a, b in values[figure].values())),
-            tuple(_at(point, pairs) for point, pairs in _grouped(values[figure], 0).items()))
-        for figure, differences, p in zip(figures, by_seed, ps, strict=True)]
-
-
-def _grouped(values: dict[tuple, tuple[float, float]], part: int) -> dict:
-    """The pairs by one part of their place: 0, the point, or 1, the seed."""
-    found: dict = {}
-    for place, pair in values.items():
-        found.setdefault(place[part], []).append(pair)
-    return found
+        Compared(figure, tuple(found[figure]))
+        for figure in sorted(found, key=lambda figure: (order[figure.split(".")[0]], figure))]
 
 
-def _verdict(differences: list[float], p: float, figures: int, equal: bool) -> str:
-    if equal:
-        return "equal"
-    if p < SURE:
-        return "higher" if median(differences) > 0 else "lower"
-    # The least p that so many seeds can have, and what Holm makes of it.
-    return "too few seeds" if figures * 2.0 / 2.0**len(differences) >= SURE else "within noise"
+def _at(point: str, figures: Pairs) -> Iterator[tuple[str, Difference]]:
+    """Each figure at one point."""
+    by_seed = [[median(b - a for a, b in values) for values in seeds.values()] for seeds in figures.values()]
+    ps = holm([sign_test(differences) for differences in by_seed])
+    for (figure, seeds), differences, p in zip(figures.items(), by_seed, ps, strict=True):
+        values = [pair for pairs in seeds.values() for pair in pairs]
+        if all(a == b for a, b in values):
+            verdict = "equal"
+        elif p < SURE:
+            verdict = "higher" if median(differences) > 0 else "lower"
+        # The least p that so many seeds can have, and what Holm makes of it.
+        elif len(figures) * 2.0 / 2.0**len(differences) >= SURE:
+            verdict = "too few seeds"
+        else:
+            verdict = "within noise"
+        yield figure, Difference(
+            point, len(differences), median(a for a, _ in values), median(b for _, b in values),
+            median(differences), min(differences), max(differences), p, verdict)
 
 
 def twins(results: Results) -> list[Compared]:
--- a/experiments/plan.py
+++ b/experiments/plan.py
@@ -6,12 +6,13 @@
 import tomllib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, fields, replace
+from math import isfinite
 from pathlib import Path
 
 import click
 
 from cobaltline import interface as io
-from scale.__main__ import hollow
+from scale.__main__ import Spread, hollow
 from scale.faults import FAULTS
 from scale.world import Options
 
@@ -74,10 +75,10 @@
     def check(value: object) -> object:
         if isinstance(kind, click.Choice):
             return _choice(value, kind.choices)
-        if isinstance(value, list):
+        if isinstance(kind, Spread) and isinstance(value, list):
             value = "-".join(map(str, value))
-        elif isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise ValueError(f"{value!r} is no number")
+        elif isinstance(value, bool) or not isinstance(value, (int, float)) or not isfinite(value):
+            raise ValueError(f"{value!r} is no number{', or two' if isinstance(kind, Spread) else ''}")
         elif isinstance(kind, click.IntRange) and not isinstance(value, int):
             raise ValueError(f"{value!r} is no whole number")
         try:
@@ -138,8 +139,10 @@
         if key in SETTINGS:
             try:
                 found[key] = SETTINGS[key](value)
-            except ValueError as error:
+            except (ValueError, OverflowError) as error:
                 raise _Refused(key, str(error)) from None
+        elif value == {} and head:  # a fault without its keys, for instance
+            raise _Refused(key, "is empty")
         elif isinstance(value, dict) and any(known.startswith(f"{key}.") for known in SETTINGS):
             found.update(_flat(value, f"{key}."))
         else:
@@ -253,6 +256,12 @@
     if not isinstance(sweep, dict):
         raise _Refused("sweep", "has to be a table")
     axes = [_axis(axis, values) for axis, values in sweep.items()]
+    swept: set[str] = set()
+    for axis, points in zip(sweep, axes, strict=True):
+        mine = {setting for point in points for setting in point}
+        if mine & swept:
+            raise _Refused(f"sweep.{axis}", f"{min(mine & swept)} is on another axis too")
+        swept |= mine
     whole = [base, *itertools.chain.from_iterable(axes)]
     figures, twins = _compared(table.get("compare"), any(k.startswith("faults.") for t in whole for k in t))
     count = len(seeds) * (2 if twins else 1)
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -52,6 +53,11 @@
     ('"load.load"', '"load.heat"', ["sweep.load.heat", "rate", "warm_up"]),
     ("[0.3, 0.6]", "[0.3, 0.3]", ["sweep.load.load", "twice"]),
     ("[0.3, 0.6]", str([n / 1000 for n in range(1, 1001)]), ["sweep", "4,000 runs", "2,000"]),
+    ("[sweep]", "[sweep]\nsize = [{ load.load = 0.5 }]", ["sweep.load.load", "another axis"]),
+    ("{ at = 0.5, length = 0.5 }", "{}", ["faults.restart", "empty"]),
+    ("seconds = 2", "rate = inf", ["load.rate", "inf is no number"]),
+    ("seconds = 2", "rate = 1" + 400 * "0", ["load.rate", "too large"]),
+    ("[1, 3]", '"1-3"', ["fleet.spread", "'1-3' is no number, or two"]),
     ("seeds = [1, 2]", "seeds = [1, -2]", ["seeds", "-2"]),
     ('"served_worth_share",', '"served",  "speed",', ["compare.figures", "'speed'", "served_worth_share"]),
     ("name =", "title =", ["title", "name, question, seeds"]),
@@ -112,14 +118,32 @@
     gone = text.replace("restart = { at = 0.5, length = 0.5", "counter-gone = { at = 0, length = 2")
     b = kept(tmp_path / "b", gone)
     same = json.loads(run("compare", a, again, "--json").stdout)
-    assert {figure["verdict"] for figure in same["figures"]} == {"equal"} and same["settings"] == {}
+    assert {at["verdict"] for figure in same["figures"] for at in figure["differences"]} == {"equal"}
+    assert same["settings"] == {} and same["without_partner"] == 0
     found = json.loads(run("compare", a, b, "--json").stdout)
-    verdicts = {figure["figure"]: figure["verdict"] for figure in found["figures"]}
+    verdicts = {figure["figure"]: figure["differences"][0]["verdict"] for figure in found["figures"]}
     assert verdicts["counter_unanswered_share"] == "higher" and list(found["settings"]) == ["faults"]
     table = run("compare", a, b).stdout
     assert "counter_unanswered_share" in table and "higher" in table
 
 
+def test_a_run_that_fails_is_told_and_the_others_go_on(tmp_path, monkeypatch):
+    file, out = tmp_path / "half.toml", tmp_path / "out"
+    file.write_text(TINY)
+    real = plan.read(file)
+    broken = tuple(
+        replace(run, module=(("no such setting", 1),)) if run.seed == 2 else run for run in real.runs)
+    monkeypatch.setattr(plan, "read", lambda path: replace(real, runs=broken))
+    found = run("experiment", file, "--out", out, "--processes", 2)
+    assert found.exit_code == 1 and "no such setting" in found.stderr
+    kept = results.read(out)
+    assert kept.state["partial"] and len(kept.state["failed"]) == 4
+    assert {record["seed"] for record in kept.records} == {1} and len(kept.records) == 4
+    again = run("experiment", file, "--out", out)
+    assert again.exit_code == 2 and str(out) in again.stderr and "not empty" in again.stderr
+    assert run("compare", out, tmp_path).exit_code == 2
+
+
 def test_a_torn_last_line_is_left_out_only_of_a_partial_result(tmp_path):
     out = kept(tmp_path / "out", TINY)
     whole = (out / results.RECORDS).read_text()
@@ -137,11 +161,13 @@
             {"point": point, "seed": seed, "figures": {"x": by + seed, "flat": 1.0}}
             for point in "abcd" for seed in range(seeds)]
 
-    def verdicts(by: float, seeds: int) -> list[str]:
-        return [c.verdict for c in noise.paired(records(0.0, seeds), records(by, seeds), ["x", "flat"])]
+    def verdicts(by: float, seeds: int) -> list[set[str]]:
+        found = noise.paired(records(0.0, seeds), records(by, seeds), ["x", "flat"])
+        assert [at.point for at in found[0].differences] == ["a", "b", "c", "d", noise.ALL]
+        return [{at.verdict for at in figure.differences} for figure in found]
 
-    assert verdicts(1.0, 7) == ["higher", "equal"] and verdicts(-1.0, 7) == ["lower", "equal"]
-    assert verdicts(1.0, 3) == ["too few seeds", "equal"]
+    assert verdicts(1.0, 7) == [{"higher"}, {"equal"}] and verdicts(-1.0, 7) == [{"lower"}, {"equal"}]
+    assert verdicts(1.0, 3) == [{"too few seeds"}, {"equal"}]
     assert noise.sign_test([1, 1, 1, 1, 1, -1, 0]) == pytest.approx(14 / 64)
     assert noise.holm([0.01, 0.04, 0.03]) == pytest.approx([0.03, 0.06, 0.06])
 
