--- a/rosehitch/__main__.py
+++ b/rosehitch/__main__.py
@@ -15,6 +15,7 @@
 
 LATE = {  # commands of other packages, which are imported only when one is asked for
     "emulate": "emulator.command", "search": "emulator.command",
+    "experiment": "experiments.command", "compare": "experiments.command",
 }
 EXTRA = "needs packages that are missing here: pip install '.[scale]'"
 
@@ -66,7 +67,11 @@
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
 def check(file: str) -> None:
     """Say whether a gateway could use the configuration FILE, read as the gateway reads it here: NODE_NAME,
-    NODE_LISTEN and NODE_DISCOVERY go before it. Exit code 2 where it could not."""
+    NODE_LISTEN and NODE_DISCOVERY go before it. A file that ends in .toml is an experiment. Exit code 2 where
+    it can't be used."""
+    if file.endswith(".toml"):
+        check_experiment(file)
+        return
     from elderhub.config import ConfigError, load
 
     logging.basicConfig(stream=sys.stderr, format="warning: %(message)s")  # entries that are passed over
@@ -80,6 +85,19 @@
                f"{len(config.known.event.backends)} backends known")
 
 
+def check_experiment(file: str) -> None:
+    try:
+        from experiments import plan
+    except ImportError as error:
+        raise click.ClickException(f"an experiment {EXTRA} ({error})") from None
+    try:
+        found = plan.read(file)
+    except plan.Wrong as error:
+        click.echo(f"rosehitch: {error}", err=True)
+        sys.exit(2)
+    click.echo(f"{file}: usable: {len(found.runs)} runs")
+
+
 @main.command()
 @click.option("--seconds", type=click.FloatRange(DEMO_LEAST_S, DEMO_MOST_S), default=DEMO_S,
               show_default=True)
