Find the end of a message by one piece of code in the emulator

Cause: the emulator's clients and backends each looked for the end of a head, its length and its body by the same six lines.

Change: `emulator/framing.py` does it for both; nothing else is another. The gateway's code is not touched.

--- a/emulator/front.py
+++ b/emulator/front.py
@@ -8,12 +8,12 @@
 from cobaltline import interface as io
 from scale.clients import KINDS, Try
 
+from . import framing
 from .checks import CLOSED, LATE_MS, READY_MS, TIME_UP, Asked
 from .network import Address, Machine, Socket, Stream
 
 HEALTH_MS = 100.0  # between two questions whether a gateway that starts is ready
 HEALTH = b"GET /healthz HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n"
-LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 RETRY_AFTER = re.compile(rb"\r\nretry-after: *([0-9.]+)", re.IGNORECASE)
 CLOSE = re.compile(rb"\r\nconnection: *close", re.IGNORECASE)
 SHARE = 3  # of a gateway's descriptors, one in so many is held by connections with requests at most
@@ -58,16 +58,11 @@
             self._front.unasked(bytes(data))
             self.close()
             return
-        end = self._data.find(b"\r\n\r\n")
-        if end < 0:
+        message = framing.take(self._data)
+        if message is None:
             return
-        head = bytes(self._data[:end + 2])
-        length = LENGTH.search(head)
-        whole = end + 4 + (int(length[1]) if length else 0)
-        if len(self._data) < whole:
-            return
-        body, status = bytes(self._data[end + 4:whole]), int(head[9:12])
-        del self._data[:whole]
+        head, body = message
+        status = int(head[9:12])
         if self._data:
             self._front.unasked(bytes(self._data))
         asked, self.asked = self.asked, None
--- a/emulator/servers.py
+++ b/emulator/servers.py
@@ -7,12 +7,12 @@
 from scale.backends import KEEPALIVE_MS, Backend, Health
 from scale.hollow import ERRORS
 
+from . import framing
 from .checks import Asked, Attempt
 from .network import Machine, Socket, Stream
 
 SWEEP_MS = 1000.0  # between two looks for connections that stood idle
 BACKLOG = 128
-LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 ID = re.compile(rb"\r\nx-request-id: *([!-~]+)", re.IGNORECASE)
 PROBES = (b"/healthz", b"/load")
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -113,16 +113,9 @@
             return
         self._since = self._server.world.clock.now
         self._data += data
-        end = self._data.find(b"\r\n\r\n")
-        if end < 0:
-            return
-        head = bytes(self._data[:end + 2])
-        length = LENGTH.search(head)
-        whole = end + 4 + (int(length[1]) if length else 0)
-        if len(self._data) >= whole:
-            body = bytes(self._data[end + 4:whole])
-            del self._data[:whole]
-            self._take(head, body)
+        message = framing.take(self._data)
+        if message is not None:
+            self._take(*message)
 
     def _take(self, head: bytes, body: bytes) -> None:
         server, world = self._server, self._server.world
