--- a/cobaltline/adapter.py
+++ b/cobaltline/adapter.py
@@ -11,45 +11,84 @@
 from .brain import Gateway
 
 OUTCOMES = {
-    0: io.Outcome.OK, 13: io.Outcome.ERROR, 8: io.Outcome.FULL, 4: io.Outcome.TIMEOUT,
-    14: io.Outcome.CONNECT_FAILED, 10: io.Outcome.RESET, 1: io.Outcome.CANCELLED, 9: io.Outcome.MOOT,
+    0: io.Outcome.OK,
+    13: io.Outcome.ERROR,
+    8: io.Outcome.FULL,
+    4: io.Outcome.TIMEOUT,
+    14: io.Outcome.CONNECT_FAILED,
+    10: io.Outcome.RESET,
+    1: io.Outcome.CANCELLED,
+    9: io.Outcome.MOOT,
 }
 LISTS = {
-    "Partial": io.ListKind.CHANGES, "Complete": io.ListKind.WHOLE,
-    "Persisted": io.ListKind.REMEMBERED, "Error": io.ListKind.FAILED,
+    "Partial": io.ListKind.CHANGES,
+    "Complete": io.ListKind.WHOLE,
+    "Persisted": io.ListKind.REMEMBERED,
+    "Error": io.ListKind.FAILED,
 }
 STATES = {"up": io.BackendState.UP, "draining": io.BackendState.DRAINING, "removed": io.BackendState.REMOVED}
 
 CLASS_KEYS = {
-    "promiseMs": "aim_ms", "giveUpMs": "deadline_ms", "keyScope": "key_scope", "keyTtlMs": "key_ttl_ms",
-    "lateWorth": "late_worth", "aimStretch": "aim_stretch", "worth": "worth", "stream": "stream",
+    "promiseMs": "aim_ms",
+    "giveUpMs": "deadline_ms",
+    "keyScope": "key_scope",
+    "keyTtlMs": "key_ttl_ms",
+    "lateWorth": "late_worth",
+    "aimStretch": "aim_stretch",
+    "worth": "worth",
+    "stream": "stream",
 }
 PLAN_KEYS = {
-    "unitsPerS": "rate", "depth": "burst", "concurrency": "open_limit", "hardRate": "ceiling_rate",
-    "ceilingBurst": "ceiling_burst", "tolerance": "ceiling_slack", "excessWorth": "excess_worth",
-    "overrunCost": "overrun_cost", "price": "price",
+    "unitsPerS": "rate",
+    "depth": "burst",
+    "concurrency": "open_limit",
+    "hardRate": "ceiling_rate",
+    "ceilingBurst": "ceiling_burst",
+    "tolerance": "ceiling_slack",
+    "excessWorth": "excess_worth",
+    "overrunCost": "overrun_cost",
+    "price": "price",
 }
 SETTING_KEYS = {
     "": {
-        "me": "me", "instances": "gateways", "zone": "zone", "resolutionMs": "tick_ms", "weights": "weights",
+        "me": "me",
+        "instances": "gateways",
+        "zone": "zone",
+        "resolutionMs": "tick_ms",
+        "weights": "weights",
     },
     "familyInfo": {
-        "counter": "counter", "countWaitMs": "counter_wait_ms", "counterPrice": "counter_price",
-        "costAfter": "settles", "meterMs": "meter_ms", "unitsTop": "most_units",
+        "counter": "counter",
+        "countWaitMs": "counter_wait_ms",
+        "counterPrice": "counter_price",
+        "costAfter": "settles",
+        "meterMs": "meter_ms",
+        "unitsTop": "most_units",
         "peerInPerS": "peer_in_per_s",
     },
     "policyLimits": {
-        "cancel": "may_cancel", "probing": "may_probe", "peerMessages": "may_tell",
-        "mayDuplicate": "may_duplicate", "retryAfter": "may_advise", "maxRetryAfterMs": "most_retry_after_ms",
-        "tryLimit": "most_attempts", "connectTimeoutMs": "connect_timeout_ms",
+        "cancel": "may_cancel",
+        "probing": "may_probe",
+        "peerMessages": "may_tell",
+        "mayDuplicate": "may_duplicate",
+        "retryAfter": "may_advise",
+        "maxRetryAfterMs": "most_retry_after_ms",
+        "tryLimit": "most_attempts",
+        "connectTimeoutMs": "connect_timeout_ms",
     },
     "obligations": {
-        "answerSlackMs": "answer_slack_ms", "askEveryMs": "ask_every_ms", "coldFrom": "cold_from",
-        "coldMs": "cold_ms", "fallMultiple": "fall_multiple", "overloadForMs": "fall_ms",
+        "answerSlackMs": "answer_slack_ms",
+        "askEveryMs": "ask_every_ms",
+        "coldFrom": "cold_from",
+        "coldMs": "cold_ms",
+        "fallMultiple": "fall_multiple",
+        "overloadForMs": "fall_ms",
         "stopSendingWithinMs": "drain_grace_ms",
     },
     "fees": {
-        "crossZone": "cross_zone_price", "waste": "waste_price", "lateFail": "late_fail_price",
+        "crossZone": "cross_zone_price",
+        "waste": "waste_price",
+        "lateFail": "late_fail_price",
         "probe": "probe_price",
     },
 }
@@ -150,17 +189,33 @@
 def _request(f):
     marks = _int(f[4])
     return io.RequestArrived(
-        request=f[1], customer=f[9], plan=f[8], kind=f[5], deadline_ms=float(f[6]), units=_num(f[3], 1.0),
-        first_gateway=_int(f[2]), spread=_int(f[7], 1), is_retry=bool(marks & 2), is_write=bool(marks & 4))
+        request=f[1],
+        customer=f[9],
+        plan=f[8],
+        kind=f[5],
+        deadline_ms=float(f[6]),
+        units=_num(f[3], 1.0),
+        first_gateway=_int(f[2]),
+        spread=_int(f[7], 1),
+        is_retry=bool(marks & 2),
+        is_write=bool(marks & 4),
+    )
 
 
 def _done(f):
     use = _int(f[6])
     settled = _num(f[7])
     return io.AttemptEnded(
-        request=f[1], attempt=int(f[3]), backend=f[8], outcome=_outcome(f[2]), final=f[4] == "1",
-        elapsed_ms=_num(f[5]), use_percent=use - 1 if use else None, settled_units=settled or None,
-        report=_report(f[9]))
+        request=f[1],
+        attempt=int(f[3]),
+        backend=f[8],
+        outcome=_outcome(f[2]),
+        final=f[4] == "1",
+        elapsed_ms=_num(f[5]),
+        use_percent=use - 1 if use else None,
+        settled_units=settled or None,
+        report=_report(f[9]),
+    )
 
 
 def _probed(f):
@@ -198,8 +253,15 @@
         raise Malformed("expected an ITEM with 7 fields")
     if f[5] not in STATES:
         raise Malformed(f"unknown status {f[5]}")
-    return io.Backend(id=f[1], zone=f[2], kind=f[3], cell=_int(f[4]), state=STATES[f[5]],
-                      weight=_num(f[6], 1.0), started_ms=_num(f[7]))
+    return io.Backend(
+        id=f[1],
+        zone=f[2],
+        kind=f[3],
+        cell=_int(f[4]),
+        state=STATES[f[5]],
+        weight=_num(f[6], 1.0),
+        started_ms=_num(f[7]),
+    )
 
 
 def _ms(value):
--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -92,8 +92,22 @@
 
 class Server:
     __slots__ = (
-        "id", "zone", "cell", "weight", "usable", "place", "out", "latency", "latency_at", "heard", "failed",
-        "started", "spoilt", "cold_tokens", "cold_at")
+        "id",
+        "zone",
+        "cell",
+        "weight",
+        "usable",
+        "place",
+        "out",
+        "latency",
+        "latency_at",
+        "heard",
+        "failed",
+        "started",
+        "spoilt",
+        "cold_tokens",
+        "cold_at",
+    )
 
     def __init__(self, entry: io.Backend, now: float, turn: float):
         self.id, self.usable = entry.id, False
@@ -154,9 +168,14 @@
         self.ask_ms = 2.0 * settings.counter_wait_ms + 10.0 * settings.tick_ms  # how long one is waited for
         self.notes: dict[tuple[str, str], tuple[bool, float]] = {}  # of states, some of a backend
         self.on = {
-            io.RequestArrived: self.on_request, io.AttemptEnded: self.on_ended, io.CountResult: self.on_count,
-            io.BackendsChanged: self.on_backends, io.ClientLeft: self.on_left, io.PeerMessage: self.on_peer,
-            io.StreamStarted: self.on_stream}
+            io.RequestArrived: self.on_request,
+            io.AttemptEnded: self.on_ended,
+            io.CountResult: self.on_count,
+            io.BackendsChanged: self.on_backends,
+            io.ClientLeft: self.on_left,
+            io.PeerMessage: self.on_peer,
+            io.StreamStarted: self.on_stream,
+        }
 
     def handle(self, now_ms: float, event) -> list:
         self.acts, now = [], now_ms
@@ -320,7 +339,7 @@
         _, kind, nonce, amount, wait, clock = WIRE.unpack_from(body)
         self.away.pop(e.sender, None)
         if kind == ASK and (int(now) - clock) & CLOCK < self.ask_ms / 2:
-            parts = body[WIRE.size:].decode(errors="replace").split(" ", 3)
+            parts = body[WIRE.size :].decode(errors="replace").split(" ", 3)
             if len(parts) == 4 and parts[2] in self.s.plans and (parts[0] + parts[1]).isdecimal():
                 b = self.bucket(now, self.s.plans[parts[2]], parts[3], int(parts[0]), int(parts[1]))
                 if b.home and amount > 0:
@@ -734,8 +753,13 @@
     def sweep(self, now: float, _arg) -> None:
         self.at(now + IDLE_MS, self.sweep, None)
         self.buckets = {
-            key: b for key, b in self.buckets.items()
+            key: b
+            for key, b in self.buckets.items()
             if now - b.touched <= (KEEP_MS if b.filled else max(IDLE_MS, 2 * b.fill_ms))
-            or b.pending or b.open or b.waiting or b.gate}
+            or b.pending
+            or b.open
+            or b.waiting
+            or b.gate
+        }
         self.fleet.sweep()
         self.notes = {key: x for key, x in self.notes.items() if not key[1] or key[1] in self.servers}
--- a/cobaltline/quota.py
+++ b/cobaltline/quota.py
@@ -58,7 +58,9 @@
         # Homes, the same at each gateway, lend to the set: who sees all of a customer's use needs few calls.
         digest = hashlib.sha256(f"{plan.name}/{key}".encode()).digest()
         self.tag = digest.hex()[:40]
-        turns = [int.from_bytes(digest[4 * i:4 * i + 4]) % spread for i in range(HOMES if s.may_tell else 0)]
+        turns = [
+            int.from_bytes(digest[4 * i : 4 * i + 4]) % spread for i in range(HOMES if s.may_tell else 0)
+        ]
         self.homes = [(first + turn) % max(1, s.gateways) for turn in turns]
         self.home = self.homes.index(s.me) + 1 if s.me in self.homes else 0
         self.rate = plan.rate  # milli-tokens a millisecond
--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -31,11 +31,28 @@
     """One request to one backend. Ends exactly once, by a call of `done` with the exchange itself."""
 
     __slots__ = (
-        "backend", "head", "body", "until", "done", "connection", "sent", "over", "outcome",
-        "headers", "answer", "report", "timer", "request", "number", "started", "wanted")
+        "backend",
+        "head",
+        "body",
+        "until",
+        "done",
+        "connection",
+        "sent",
+        "over",
+        "outcome",
+        "headers",
+        "answer",
+        "report",
+        "timer",
+        "request",
+        "number",
+        "started",
+        "wanted",
+    )
 
     def __init__(
-            self, backend: str, head: bytes, body: bytes, until: float, done: Callable[[Exchange], None]):
+        self, backend: str, head: bytes, body: bytes, until: float, done: Callable[[Exchange], None]
+    ):
         self.backend, self.head, self.body, self.until, self.done = backend, head, body, until, done
         self.connection: Connection | None = None  # once the request is being written
         self.sent = False  # its last byte has left our buffer: from here on it may run
@@ -244,7 +261,8 @@
     def send(self, exchange: Exchange) -> None:
         connection = self._free(self.loop.time() - REST_S)
         if connection is None and (
-                len(self.all) + len(self.opening) >= BACKEND_MOST or not self._backends.room()):
+            len(self.all) + len(self.opening) >= BACKEND_MOST or not self._backends.room()
+        ):
             connection = self._free(float("inf"))
             if connection is None:
                 exchange.end(io.Outcome.CONNECT_FAILED)
@@ -358,8 +376,9 @@
 
     def _sweep(self) -> None:
         before = self.loop.time() - self.idle_s
-        for connection, pool in list(itertools.takewhile(
-                lambda entry: entry[0].idle_since <= before, self.idle.items())):
+        for connection, pool in list(
+            itertools.takewhile(lambda entry: entry[0].idle_since <= before, self.idle.items())
+        ):
             pool.retire(connection)
         for name in [name for name, pool in self._pools.items() if not pool.all and not pool.opening]:
             del self._pools[name]
--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -75,9 +75,16 @@
     _fits(message, cls)
     units, first, spread = _quota(headers[QUOTA], settings)
     return io.RequestArrived(
-        request="", customer=found[1].decode().lower(), plan=plan.name, kind=cls.name,
-        deadline_ms=message.came + _wait_ms(headers[TIMEOUT], cls), units=units, first_gateway=first,
-        spread=spread, is_retry=headers.get(RETRIED) == b"1")
+        request="",
+        customer=found[1].decode().lower(),
+        plan=plan.name,
+        kind=cls.name,
+        deadline_ms=message.came + _wait_ms(headers[TIMEOUT], cls),
+        units=units,
+        first_gateway=first,
+        spread=spread,
+        is_retry=headers.get(RETRIED) == b"1",
+    )
 
 
 def _fits(message: Message, cls: io.RequestClass) -> None:
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -38,10 +38,18 @@
 BACKLOG = 1024
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
-    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
 }
 LINES = {code: f"HTTP/1.1 {code} {reason}\r\n".encode() for code, reason in REASONS.items()}
 LINES[405] += b"Allow: GET, POST\r\n"
@@ -244,8 +252,10 @@
         self.since = self._clients.loop.time()
         if self.transport.is_closing():
             return
-        self.transport.write(b"%b%bContent-Length: %d\r\n%b\r\n%b" % (
-            LINES[status], headers, size, b"Connection: close\r\n" if close else b"", body))
+        self.transport.write(
+            b"%b%bContent-Length: %d\r\n%b\r\n%b"
+            % (LINES[status], headers, size, b"Connection: close\r\n" if close else b"", body)
+        )
         if close and orderly:
             self._deaf = True
             self.transport.close()  # all was read, so no reset can overtake the answer
@@ -340,8 +350,7 @@
         if count <= 0:
             return 0
         now = self.loop.time()
-        found = [(rank, client.since, client) for client in self._open
-                 if (rank := client.rank(now)) in ranks]
+        found = [(rank, client.since, client) for client in self._open if (rank := client.rank(now)) in ranks]
         going = sorted(found, key=lambda entry: entry[:2])[:count]
         for rank, _, client in going:
             unread = client.transport.get_write_buffer_size() > 0  # an orderly end would wait for it
--- a/elderhub/config.py
+++ b/elderhub/config.py
@@ -106,22 +106,35 @@
     peers = tuple(_field(f"peers[{i}]", ADDRESS, address, peer) for i, peer in enumerate(listed))
     counter, peer_listen, peers_all = (_optional(raw, key) for key in ("counter", "peer_listen", "peers_all"))
     if settings.counter and counter is None:
-        raise ConfigError("counter: none is named, but settings.familyInfo.counter allows one "
-                          f"(allowed: {ADDRESS})")
-    sockets = _field("limits.sockets", f"a whole number from {SOCKETS_LEAST} on", int,
-                     _object(raw, "limits", "limits").get("sockets") or 1024)
+        raise ConfigError(
+            f"counter: none is named, but settings.familyInfo.counter allows one (allowed: {ADDRESS})"
+        )
+    sockets = _field(
+        "limits.sockets",
+        f"a whole number from {SOCKETS_LEAST} on",
+        int,
+        _object(raw, "limits", "limits").get("sockets") or 1024,
+    )
     if sockets < SOCKETS_LEAST:
-        raise ConfigError(f"limits.sockets: {sockets} are too few to serve with (allowed: a whole number "
-                          f"from {SOCKETS_LEAST} on)")
+        raise ConfigError(
+            f"limits.sockets: {sockets} are too few to serve with (allowed: a whole number "
+            f"from {SOCKETS_LEAST} on)"
+        )
     keepalive_ms = _object(info, "policyLimits", "settings.policyLimits").get("keepaliveMs") or 15000.0
     return Config(
-        name=str(raw.get("name") or ""), listen=_address(raw, "listen"), discovery=_address(raw, "discovery"),
-        counter=counter if settings.counter else None, peer_listen=peer_listen if settings.may_tell else None,
-        peers=peers, peers_all=peers_all,
+        name=str(raw.get("name") or ""),
+        listen=_address(raw, "listen"),
+        discovery=_address(raw, "discovery"),
+        counter=counter if settings.counter else None,
+        peer_listen=peer_listen if settings.may_tell else None,
+        peers=peers,
+        peers_all=peers_all,
         seed=_field("seed", "hexadecimal digits, as text", int, str(raw.get("seed") or "0"), 16),
         sockets=sockets,
         keepalive_ms=_field("settings.policyLimits.keepaliveMs", "milliseconds", float, keepalive_ms),
-        known=_known(_object(raw, "known", "known")), settings=settings)
+        known=_known(_object(raw, "known", "known")),
+        settings=settings,
+    )
 
 
 def _known(raw: dict) -> Listing:
--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -36,7 +36,9 @@
 MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
 
 STATES = {
-    "Ready": io.BackendState.UP, "Terminating": io.BackendState.DRAINING, "Gone": io.BackendState.REMOVED,
+    "Ready": io.BackendState.UP,
+    "Terminating": io.BackendState.DRAINING,
+    "Gone": io.BackendState.REMOVED,
 }
 
 
@@ -60,10 +62,14 @@
     """A backend and where it listens, unless it is gone; none where it can't be read."""
     try:
         backend = io.Backend(
-            id=str(raw["instanceId"]), zone=sys.intern(str(raw.get("zone", ""))),
-            kind=sys.intern(str(raw.get("machineType", ""))), cell=int(raw.get("cell") or 0),
-            state=STATES[raw["lifecycle"]], weight=float(raw.get("weight", 1.0)),
-            started_ms=float(raw.get("startedAtMs") or 0.0))
+            id=str(raw["instanceId"]),
+            zone=sys.intern(str(raw.get("zone", ""))),
+            kind=sys.intern(str(raw.get("machineType", ""))),
+            cell=int(raw.get("cell") or 0),
+            state=STATES[raw["lifecycle"]],
+            weight=float(raw.get("weight", 1.0)),
+            started_ms=float(raw.get("startedAtMs") or 0.0),
+        )
         return backend, None if backend.state is io.BackendState.REMOVED else address(raw["hostPort"])
     except MALFORMED as error:  # one bad entry must not hide the others
         seldom.warning("discovery: %.200r is passed over: %r", raw, error)
@@ -181,8 +187,13 @@
     """Keeps a watch open; tells `told` what each list changes, in parts. The last part may hold nothing."""
 
     def __init__(
-            self, where: Address, version: int, told: Callable[[Listing], None], ask_every_s: float = 0.0,
-            draw: Callable[[], float] | None = None):
+        self,
+        where: Address,
+        version: int,
+        told: Callable[[Listing], None],
+        ask_every_s: float = 0.0,
+        draw: Callable[[], float] | None = None,
+    ):
         self._ask_every_s = ask_every_s  # above 0 where calls load a service that all gateways share
         self._wait, self._draw = 0.0, draw or random.random  # evenly from [0, 1)
         self._where, self._version, self._told = where, version, told
@@ -199,7 +210,9 @@
         """What is known before the first watch."""
         self._known = {
             backend.id: (backend, found.addresses[backend.id])
-            for backend in found.event.backends if backend.state is not io.BackendState.REMOVED}
+            for backend in found.event.backends
+            if backend.state is not io.BackendState.REMOVED
+        }
 
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -52,7 +52,19 @@
     """A request that was taken, until its end was told to the module and no attempt is out."""
 
     __slots__ = (
-        "id", "name", "client", "message", "head", "deadline", "out", "sends", "ran", "done", "told", "timer")
+        "id",
+        "name",
+        "client",
+        "message",
+        "head",
+        "deadline",
+        "out",
+        "sends",
+        "ran",
+        "done",
+        "told",
+        "timer",
+    )
 
     def __init__(self, name: str, client: Client, message: Message, deadline: float):
         self.id, self.client, self.message, self.deadline = name, client, message, deadline
@@ -81,19 +93,31 @@
         self._busy = False
         self._entries = 0  # of lists, since what is kept of them was taken out of the collector's sight
         self.clients = Clients(
-            self, settings, int(min(config.sockets * CLIENT_SHARE, left * CLIENT_PART)), system)
+            self, settings, int(min(config.sockets * CLIENT_SHARE, left * CLIENT_PART)), system
+        )
         self.backends = Backends(settings, config.keepalive_ms, connections, system)
         self.counter = Counter(config.counter, settings.counter_wait_ms, self.put) if config.counter else None
         self.discovery = Discovery(
-            config.discovery, config.known.event.version, self.listed,
-            settings.ask_every_ms / 1000.0 if settings.must_ask else 0.0, system.random)
+            config.discovery,
+            config.known.event.version,
+            self.listed,
+            settings.ask_every_ms / 1000.0 if settings.must_ask else 0.0,
+            system.random,
+        )
         self.discovery.remember(config.known)
         self.peers = Peers(config, self.put)
         self._do = {
-            io.Send: self._send, io.Reject: self._reject, io.Fail: self._fail, io.Cancel: self._cancel,
-            io.Count: self._count, io.SetTimer: self._set_timer, io.Tell: self.peers.tell,
-            io.Probe: self._probe, io.CloseIdle: lambda a: self.backends.close_idle(a.backend),
-            io.Subscribe: lambda a: self.discovery.restart(), io.Log: lambda a: log.info("%s", a.text),
+            io.Send: self._send,
+            io.Reject: self._reject,
+            io.Fail: self._fail,
+            io.Cancel: self._cancel,
+            io.Count: self._count,
+            io.SetTimer: self._set_timer,
+            io.Tell: self.peers.tell,
+            io.Probe: self._probe,
+            io.CloseIdle: lambda a: self.backends.close_idle(a.backend),
+            io.Subscribe: lambda a: self.discovery.restart(),
+            io.Log: lambda a: log.info("%s", a.text),
             io.Fetch: lambda a: self.discovery.restart(whole=True),
         }
 
@@ -239,9 +263,17 @@
         if outcome is io.Outcome.OK:
             self._answer(held, 200, exchange.answer, exchange.headers)
         held.ran = held.ran or outcome not in io.NEVER_RAN
-        self.put(io.AttemptEnded(
-            held.id, exchange.number, exchange.backend, outcome, held.done, self.now() - exchange.started,
-            report=report(exchange.report)))
+        self.put(
+            io.AttemptEnded(
+                held.id,
+                exchange.number,
+                exchange.backend,
+                outcome,
+                held.done,
+                self.now() - exchange.started,
+                report=report(exchange.report),
+            )
+        )
 
     def _cancel(self, action: io.Cancel) -> None:
         held = self._requests.get(action.request)
--- a/elderhub/lists.py
+++ b/elderhub/lists.py
@@ -37,7 +37,7 @@
         self.inside = False  # an object has begun that has not ended
 
     def feed(self, data: bytes) -> None:
-        self._text, self._at = self._text[self._at:] + self._codec.decode(data), 0
+        self._text, self._at = self._text[self._at :] + self._codec.decode(data), 0
 
     def read(self, most: int) -> Part | None:
         """The next entries of one object, so many at most; none where all else has yet to come."""
@@ -137,4 +137,4 @@
     def _cut_short(self, at: int) -> None:
         """Raises ValueError where more text could not mend what is wrong there."""
         if at < len(self._text.rstrip()) - TOKEN_MOST:
-            raise ValueError(f"no value at {self._text[at:at + 2 * TOKEN_MOST]!r}")
+            raise ValueError(f"no value at {self._text[at : at + 2 * TOKEN_MOST]!r}")
--- a/elderhub/wire.py
+++ b/elderhub/wire.py
@@ -10,10 +10,19 @@
 
 MOST_BYTES = 64 * 1024  # of a body, and of a head
 
-HOP_BY_HOP = frozenset({
-    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
-    b"trailer", b"transfer-encoding", b"upgrade",
-})
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
 
 
 def address(text: object) -> Address:
--- a/emulator/agent.py
+++ b/emulator/agent.py
@@ -16,14 +16,23 @@
 AFTER = re.compile(rb"[?&]after=(\d+)")
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 LIFECYCLES = {
-    io.BackendState.UP: "Ready", io.BackendState.DRAINING: "Terminating", io.BackendState.REMOVED: "Gone"}
+    io.BackendState.UP: "Ready",
+    io.BackendState.DRAINING: "Terminating",
+    io.BackendState.REMOVED: "Gone",
+}
 
 
 def entry(backend: io.Backend) -> dict:
     return {
-        "instanceId": backend.id, "hostPort": backend.id, "zone": backend.zone, "machineType": backend.kind,
-        "cell": backend.cell, "lifecycle": LIFECYCLES[backend.state], "weight": backend.weight,
-        "startedAtMs": backend.started_ms}
+        "instanceId": backend.id,
+        "hostPort": backend.id,
+        "zone": backend.zone,
+        "machineType": backend.kind,
+        "cell": backend.cell,
+        "lifecycle": LIFECYCLES[backend.state],
+        "weight": backend.weight,
+        "startedAtMs": backend.started_ms,
+    }
 
 
 class Watch:
@@ -45,8 +54,9 @@
         self._agent.ended(self)
 
     def line(self, generation: int, reset: bool, entries) -> None:
-        text = json.dumps({
-            "generation": generation, "reset": reset, "instances": list(map(entry, entries))}).encode()
+        text = json.dumps(
+            {"generation": generation, "reset": reset, "instances": list(map(entry, entries))}
+        ).encode()
         self.chunk(text + b"\n")
 
     def chunk(self, data: bytes) -> None:
@@ -102,7 +112,7 @@
         before = self.known
         if event.kind is io.ListKind.CHANGES:
             self.known = dict(before)
-            self._changes = [*self._changes[1 - CHANGES_KEPT:], (event.version, event.backends)]
+            self._changes = [*self._changes[1 - CHANGES_KEPT :], (event.version, event.backends)]
         else:
             self.known, self._changes = {}, []
         for backend in event.backends:
@@ -113,7 +123,8 @@
         counts_at = now if self._silent_since is None else max(now, self._silent_since + SILENT_MS)
         for backend in event.backends:
             self._world.checks.told(
-                self.number, backend.id, backend.state is not io.BackendState.UP, counts_at)
+                self.number, backend.id, backend.state is not io.BackendState.UP, counts_at
+            )
         for name in before:
             if name not in self.known:
                 self._world.checks.told(self.number, name, True, counts_at)
--- a/emulator/checks.py
+++ b/emulator/checks.py
@@ -92,8 +92,11 @@
             self.breaks(now, "no final answer in time", asked.name)
         if status == 200 and body not in asked.bodies:
             self.breaks(now, "served with what no backend made for it", asked.name)
-        if asked.final == "refused" and asked.repeat is io.Repeat.UNSAFE and any(
-                attempt.ran for attempt in asked.attempts):
+        if (
+            asked.final == "refused"
+            and asked.repeat is io.Repeat.UNSAFE
+            and any(attempt.ran for attempt in asked.attempts)
+        ):
             self.breaks(now, "refused what may have run", asked.name)
         if any(attempt.sent_at > sent_at for attempt in asked.attempts):
             self.breaks(now, "sent on after its end", asked.name)
@@ -123,8 +126,9 @@
 
     # Backends.
 
-    def attempt(self, now: float, name: str, text: bytes, backend: str, gateway: int, peer,
-                grace_ms: float) -> tuple[Asked, Attempt] | None:
+    def attempt(
+        self, now: float, name: str, text: bytes, backend: str, gateway: int, peer, grace_ms: float
+    ) -> tuple[Asked, Attempt] | None:
         """A request has come whole to a backend; None where nobody asked for it."""
         asked = self.asked.get(name)
         if asked is None:
--- a/emulator/command.py
+++ b/emulator/command.py
@@ -48,17 +48,35 @@
 def fleet(command: Callable) -> Callable:
     """The options of a fleet, for a command that takes them by the names of `Options`."""
     for option in (
-            click.option("--gateways", type=click.IntRange(1, 1000), default=DEFAULTS.gateways,
-                         show_default=True),
-            click.option("--backends", type=click.IntRange(1, 1000), default=DEFAULTS.backends,
-                         show_default=True),
-            click.option("--zones", type=click.IntRange(1, 64), default=DEFAULTS.zones, show_default=True),
-            click.option("--spread", type=Spread(), default=DEFAULTS.spread, show_default="2-4",
-                         help="Gateways in a customer's set."),
-            click.option("--sockets", type=click.IntRange(64, 65536), default=DEFAULTS.sockets,
-                         show_default=True, help="Descriptors of a gateway."),
-            click.option("--seconds", type=click.FloatRange(1, 3600), default=DEFAULTS.seconds,
-                         show_default=True, help="Of load, on the virtual clock.")):
+        click.option(
+            "--gateways", type=click.IntRange(1, 1000), default=DEFAULTS.gateways, show_default=True
+        ),
+        click.option(
+            "--backends", type=click.IntRange(1, 1000), default=DEFAULTS.backends, show_default=True
+        ),
+        click.option("--zones", type=click.IntRange(1, 64), default=DEFAULTS.zones, show_default=True),
+        click.option(
+            "--spread",
+            type=Spread(),
+            default=DEFAULTS.spread,
+            show_default="2-4",
+            help="Gateways in a customer's set.",
+        ),
+        click.option(
+            "--sockets",
+            type=click.IntRange(64, 65536),
+            default=DEFAULTS.sockets,
+            show_default=True,
+            help="Descriptors of a gateway.",
+        ),
+        click.option(
+            "--seconds",
+            type=click.FloatRange(1, 3600),
+            default=DEFAULTS.seconds,
+            show_default=True,
+            help="Of load, on the virtual clock.",
+        ),
+    ):
         command = option(command)
     return command
 
@@ -77,22 +95,49 @@
     """What is kept of a play, as JSON takes it."""
     latency = {
         f"latency_ms_p{share:g}": record.latency.get_value_at_percentile(share) / 1000.0
-        for share in PERCENTILES}
-    return {**record.figures, **latency, "connections": record.connections, "bytes": record.bytes,
-            "most_descriptors": record.most_descriptors, "digest": record.digest}
+        for share in PERCENTILES
+    }
+    return {
+        **record.figures,
+        **latency,
+        "connections": record.connections,
+        "bytes": record.bytes,
+        "most_descriptors": record.most_descriptors,
+        "digest": record.digest,
+    }
 
 
 @click.command()
 @fleet
-@click.option("--load", type=click.FloatRange(0.001, 2), default=DEFAULTS.load, show_default=True,
-              help="Asked inside quotas, as a share of what the backends can do.")
-@click.option("--leave", type=click.FloatRange(0, 1), default=DEFAULTS.leave, show_default=True,
-              help="Share of the tries whose client goes within 0.2 s.")
-@click.option("--hollow", type=click.IntRange(0), default=DEFAULTS.hollow, show_default=True,
-              help="Of the gateways: the module alone, without the network code.")
-@click.option("--fault", "faults", type=FaultText(), multiple=True,
-              help="What goes wrong; may be given more than once. Times in seconds from the start. Kinds: "
-                   f"{', '.join(sorted(KINDS))}.")
+@click.option(
+    "--load",
+    type=click.FloatRange(0.001, 2),
+    default=DEFAULTS.load,
+    show_default=True,
+    help="Asked inside quotas, as a share of what the backends can do.",
+)
+@click.option(
+    "--leave",
+    type=click.FloatRange(0, 1),
+    default=DEFAULTS.leave,
+    show_default=True,
+    help="Share of the tries whose client goes within 0.2 s.",
+)
+@click.option(
+    "--hollow",
+    type=click.IntRange(0),
+    default=DEFAULTS.hollow,
+    show_default=True,
+    help="Of the gateways: the module alone, without the network code.",
+)
+@click.option(
+    "--fault",
+    "faults",
+    type=FaultText(),
+    multiple=True,
+    help="What goes wrong; may be given more than once. Times in seconds from the start. Kinds: "
+    f"{', '.join(sorted(KINDS))}.",
+)
 @click.option("--seed", type=click.IntRange(0), default=DEFAULTS.seed, show_default=True)
 @click.option("--json", "file", type=click.Path(dir_okay=False, writable=True), help="Keep the record there.")
 def emulate(file: str | None, **options) -> None:
@@ -110,8 +155,15 @@
     tell(f"played in {time.monotonic() - began:.1f} s")
     found = results(record)
     told(record, found)
-    keep(file, {"again": searching.again(chosen), "figures": found, "broken": record.broken,
-                "errors": record.errors})
+    keep(
+        file,
+        {
+            "again": searching.again(chosen),
+            "figures": found,
+            "broken": record.broken,
+            "errors": record.errors,
+        },
+    )
     if record.broken or record.errors:
         sys.exit(1)
     click.echo("all rules kept")
@@ -119,12 +171,28 @@
 
 @click.command()
 @fleet
-@click.option("--kind", "kinds", type=click.Choice(sorted(KINDS)), multiple=True,
-              help="Faults of these kinds alone; may be given more than once.")
-@click.option("--for", "for_s", type=click.FloatRange(0.1, 3600), default=60.0, show_default=True,
-              help="Real seconds to search; what breaks a rule is made small in as long again at most.")
-@click.option("--seed", type=click.IntRange(0), default=DEFAULTS.seed, show_default=True,
-              help="Of the days that are drawn.")
+@click.option(
+    "--kind",
+    "kinds",
+    type=click.Choice(sorted(KINDS)),
+    multiple=True,
+    help="Faults of these kinds alone; may be given more than once.",
+)
+@click.option(
+    "--for",
+    "for_s",
+    type=click.FloatRange(0.1, 3600),
+    default=60.0,
+    show_default=True,
+    help="Real seconds to search; what breaks a rule is made small in as long again at most.",
+)
+@click.option(
+    "--seed",
+    type=click.IntRange(0),
+    default=DEFAULTS.seed,
+    show_default=True,
+    help="Of the days that are drawn.",
+)
 def search(kinds: tuple[str, ...], for_s: float, seed: int, **options) -> None:
     """Draw days on a fleet until a rule breaks or the time is up, and tell how to play that day again.
 
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -150,6 +150,7 @@
         for server in world.servers.values():
             setattr(server, name, fault.part)
             _over(world, fault, setattr, server, name, 0.0)
+
     return call
 
 
@@ -167,7 +168,8 @@
     for gateway in _gateways(world, fault, rng):
         for _ in range(round(fault.size)):
             world.clock.at(
-                world.clock.now + rng.uniform(0.0, CROWD_MS), _idle, world, gateway, fault.for_s * 1000.0)
+                world.clock.now + rng.uniform(0.0, CROWD_MS), _idle, world, gateway, fault.for_s * 1000.0
+            )
 
 
 def _idle(world, gateway, for_ms: float) -> None:
@@ -199,8 +201,11 @@
     **{name: _of_fleet(name) for name in WHOLE_FLEET},
     "kill": Kind("part of the gateways are killed, and start again after 2 s", _kill),
     "drain": Kind("part of the gateways get SIGTERM, one after another, and start again", _drain),
-    "stand-still": Kind("part of the gateways stand still again and again, for `size` s", _stand_still,
-                        sizes=(0.05, STILL_MOST_S)),
+    "stand-still": Kind(
+        "part of the gateways stand still again and again, for `size` s",
+        _stand_still,
+        sizes=(0.05, STILL_MOST_S),
+    ),
     "watch-silent": Kind("the open watches of part of the gateways say nothing any more", _watch_silent),
     "watch-reset": Kind("the open watches of part of the gateways are reset", _watch_reset),
     "discovery-down": Kind("discovery is down: its agents are silent and learn nothing", _discovery_down),
@@ -211,8 +216,9 @@
     "reset": Kind("part of the answers are a reset", _answers("resets"), FEW),
     "noise": Kind("part of the answers can't be read", _answers("noise"), FEW),
     "second": Kind("part of the answers come a second time, some ms late", _answers("doubled")),
-    "connect-late": Kind("part of the connections to backends come up late, up to `size` s", _connect_late,
-                         sizes=(0.2, 1.5)),
+    "connect-late": Kind(
+        "part of the connections to backends come up late, up to `size` s", _connect_late, sizes=(0.2, 1.5)
+    ),
     "connect-never": Kind("part of the connections to backends never come up", _connect_never, FEW),
     "crowd": Kind("`size` idle connections come to part of the gateways", _crowd, sizes=(20.0, 400.0)),
     "leavers": Kind("part of the requests' clients go within 0.2 s", _leavers),
--- a/emulator/framing.py
+++ b/emulator/framing.py
@@ -13,11 +13,11 @@
     end = data.find(b"\r\n\r\n")
     if end < 0:
         return None
-    head = bytes(data[:end + 2])
+    head = bytes(data[: end + 2])
     length = LENGTH.search(head)
     whole = end + 4 + (int(length[1]) if length else 0)
     if len(data) < whole:
         return None
-    body = bytes(data[end + 4:whole])
+    body = bytes(data[end + 4 : whole])
     del data[:whole]
     return head, body
--- a/emulator/front.py
+++ b/emulator/front.py
@@ -94,8 +94,11 @@
 
     def __init__(self, front: Front):
         self._sock: Socket = front.machine.network.connect(
-            front.machine, front.address, lambda: Stream(self._sock, lambda data: None, self._over),
-            lambda error: self._sock.close())
+            front.machine,
+            front.address,
+            lambda: Stream(self._sock, lambda data: None, self._over),
+            lambda error: self._sock.close(),
+        )
 
     def _over(self, reset: bool) -> None:
         self._sock.close()
@@ -145,12 +148,19 @@
         target = b"/api/%b" % event.customer.encode()
         name = f"{number:016x}"
         asked = Asked(
-            name, t, b"%b %b\n%b" % (method, target, body), kind.repeat, self._gateway.number,
-            self._gateway.life, now)
+            name,
+            t,
+            b"%b %b\n%b" % (method, target, body),
+            kind.repeat,
+            self._gateway.number,
+            self._gateway.life,
+            now,
+        )
         head = (
             f"Host: api.internal\r\nX-Request-ID: {name}\r\nX-Priority-Class: {event.kind}\r\n"
             f"Plan: {event.plan}\r\nX-Timeout: {(event.deadline_ms - now) / 1000.0:.6f}\r\n"
-            f"Quota-Info: units={event.units:g},spread={event.spread},first={event.first_gateway}\r\n")
+            f"Quota-Info: units={event.units:g},spread={event.spread},first={event.first_gateway}\r\n"
+        )
         length = b"Content-Length: %d\r\n" % len(body) if body else b""
         text = b"%b %b HTTP/1.1\r\n%b%b\r\n%b" % (method, target, head.encode(), length, body)
         self._world.checks.sent(asked)
@@ -190,7 +200,8 @@
 
     def unasked(self, data: bytes) -> None:
         self._world.checks.breaks(
-            self._world.clock.now, "bytes that answer nothing", data[:60].decode("latin-1"))
+            self._world.clock.now, "bytes that answer nothing", data[:60].decode("latin-1")
+        )
 
     def refused(self, asked: Asked) -> None:
         """The gateway is not there."""
@@ -255,7 +266,8 @@
     def __init__(self, front: Front, up):
         self._up, self._data = up, b""
         self._sock = front.machine.network.connect(
-            front.machine, front.address, self._connected, lambda error: self._sock.close())
+            front.machine, front.address, self._connected, lambda error: self._sock.close()
+        )
         front.machine.network.clock.at(front.machine.network.clock.now + READY_MS, self._sock.close)
 
     def _connected(self) -> None:
--- a/emulator/gateway.py
+++ b/emulator/gateway.py
@@ -53,18 +53,32 @@
         self._killed = False
         self._stop = asyncio.Event()
         machine = self._machine = ProgramMachine(
-            self._world.network, f"gateway-{self.number}", self.zone, self._world.options.sockets,
-            self._crashed)
+            self._world.network,
+            f"gateway-{self.number}",
+            self.zone,
+            self._world.options.sockets,
+            self._crashed,
+        )
         seed, draws = self._rng.getrandbits(48), Random(self._rng.getrandbits(48))
         known = self.agent
         listing = Listing(
             io.BackendsChanged(io.ListKind.REMEMBERED, known.version, tuple(known.known.values())),
-            {name: address(name) for name in known.known})
+            {name: address(name) for name in known.known},
+        )
         config = Config(
-            name=f"n{self.number}", listen=self.address, discovery=self.agent.address,
-            counter=COUNTER_ADDRESS if self.settings.counter else None, peer_listen=None, peers=(),
-            peers_all=None, seed=seed, sockets=self._world.options.sockets, keepalive_ms=KEEPALIVE_MS,
-            known=listing, settings=self.settings)
+            name=f"n{self.number}",
+            listen=self.address,
+            discovery=self.agent.address,
+            counter=COUNTER_ADDRESS if self.settings.counter else None,
+            peer_listen=None,
+            peers=(),
+            peers_all=None,
+            seed=seed,
+            sockets=self._world.options.sockets,
+            keepalive_ms=KEEPALIVE_MS,
+            known=listing,
+            settings=self.settings,
+        )
         machine.start(self._program(config, VirtualSystem(machine, draws), self._stop))
         self._front.watch_start(self.life)
 
--- a/emulator/machine.py
+++ b/emulator/machine.py
@@ -44,8 +44,11 @@
     async def create_connection(self, factory, host=None, port=None, **options):
         waiter = self.create_future()
         sock = self._machine.network.connect(
-            self._machine, (host, port), lambda: self._machine.event(lambda: _done(waiter)),
-            lambda error: self._machine.event(lambda: _done(waiter, error)))
+            self._machine,
+            (host, port),
+            lambda: self._machine.event(lambda: _done(waiter)),
+            lambda error: self._machine.event(lambda: _done(waiter, error)),
+        )
         try:
             await waiter
         except BaseException:
@@ -132,7 +135,8 @@
                 self.close()
         except Exception as error:
             self._loop.call_exception_handler(
-                {"message": "a protocol failed", "exception": error, "protocol": self._protocol})
+                {"message": "a protocol failed", "exception": error, "protocol": self._protocol}
+            )
             self._fail(error)
 
     # Writing.
@@ -218,7 +222,8 @@
     """Runs one program. `crashed` is told of what no part of the program has caught."""
 
     def __init__(
-            self, network: Network, name: str, zone: str, descriptors: int, crashed: Callable[[str], None]):
+        self, network: Network, name: str, zone: str, descriptors: int, crashed: Callable[[str], None]
+    ):
         super().__init__(network, name, zone, descriptors, FILES_USED)
         self._crashed = crashed
         self.accepting: dict[Listener, Callable] = {}
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -114,8 +114,24 @@
     more can be written."""
 
     __slots__ = (
-        "machine", "number", "name", "peer", "inbox", "ended", "reset", "shut", "closed", "window", "blocked",
-        "due", "reader", "writer", "shut_at", "sent_at", "up")
+        "machine",
+        "number",
+        "name",
+        "peer",
+        "inbox",
+        "ended",
+        "reset",
+        "shut",
+        "closed",
+        "window",
+        "blocked",
+        "due",
+        "reader",
+        "writer",
+        "shut_at",
+        "sent_at",
+        "up",
+    )
 
     def __init__(self, machine: Machine, name: int):
         self.machine, self.name = machine, name  # the connection's number, with its side as the sign
@@ -307,8 +323,9 @@
         for sock, data in held:
             self.carry(sock, data)
 
-    def connect(self, machine: Machine, where: Address, up: Callable[[], None],
-                failed: Callable[[OSError], None]) -> Socket:
+    def connect(
+        self, machine: Machine, where: Address, up: Callable[[], None], failed: Callable[[OSError], None]
+    ) -> Socket:
         """Begin a connection; raises OSError where there is no descriptor. One of the two is called later, or
         none where it never comes up; none once the socket was closed."""
         self.connections += 1
--- a/emulator/search.py
+++ b/emulator/search.py
@@ -31,8 +31,10 @@
     """The Python expression that plays it again."""
     default = Options()
     told = [
-        f"{f.name}={getattr(options, f.name)!r}" for f in fields(options)
-        if getattr(options, f.name) != getattr(default, f.name)]
+        f"{f.name}={getattr(options, f.name)!r}"
+        for f in fields(options)
+        if getattr(options, f.name) != getattr(default, f.name)
+    ]
     return f"emulator.play(Options({', '.join(told)}))"
 
 
@@ -49,21 +51,33 @@
 def draw(base: Options, rng: Random, kinds: Sequence[str]) -> Options:
     """A day on that fleet: its load, its clients, a seed and a plan of faults of these kinds."""
     return replace(
-        base, seed=rng.randrange(1 << 31), load=round(rng.uniform(0.2, 1.1), 2),
+        base,
+        seed=rng.randrange(1 << 31),
+        load=round(rng.uniform(0.2, 1.1), 2),
         leave=rng.choice((0.0, 0.05, 0.2)),
-        faults=tuple(_fault(base.seconds, rng, kinds) for _ in range(rng.randint(1, FAULTS_MOST))))
+        faults=tuple(_fault(base.seconds, rng, kinds) for _ in range(rng.randint(1, FAULTS_MOST))),
+    )
 
 
 def _fault(seconds: float, rng: Random, kinds: Sequence[str]) -> Fault:
     name = rng.choice(kinds)
     kind = KINDS[name]
     return Fault(
-        name, round(rng.uniform(0.5, seconds * 0.8), 2), round(rng.uniform(0.5, seconds * 0.7), 2),
-        round(rng.uniform(*kind.parts), 2), round(rng.uniform(*kind.sizes), 2))
-
-
-def search(base: Options, seed: int, for_s: float, kinds: Sequence[str] = (),
-           progress: Callable[[str], None] = lambda text: None) -> Found | None:
+        name,
+        round(rng.uniform(0.5, seconds * 0.8), 2),
+        round(rng.uniform(0.5, seconds * 0.7), 2),
+        round(rng.uniform(*kind.parts), 2),
+        round(rng.uniform(*kind.sizes), 2),
+    )
+
+
+def search(
+    base: Options,
+    seed: int,
+    for_s: float,
+    kinds: Sequence[str] = (),
+    progress: Callable[[str], None] = lambda text: None,
+) -> Found | None:
     """Play days drawn from `seed` on the fleet of `base`, for so many real seconds at most, until a rule
     breaks. What broke it is then made small, in as long again at most. Faults are of `kinds`, if any are
     given. Raises ValueError where one is unknown."""
@@ -93,8 +107,13 @@
     return rule in record.broken or rule == LOGGED and bool(record.errors)
 
 
-def shrink(options: Options, record: Record, rule: str, until: float,
-           progress: Callable[[str], None] = lambda text: None) -> tuple[Options, int]:
+def shrink(
+    options: Options,
+    record: Record,
+    rule: str,
+    until: float,
+    progress: Callable[[str], None] = lambda text: None,
+) -> tuple[Options, int]:
     """The smallest day found by then on which the same rule breaks, and how many plays that took."""
     tried, smaller = {options}, True
     while smaller:
@@ -116,7 +135,7 @@
 def _smaller(options: Options, record: Record, rule: str) -> Iterator[Options]:
     """One fault less, a shorter day, no early leavers, half of a fault."""
     for number in range(len(options.faults)):
-        yield replace(options, faults=options.faults[:number] + options.faults[number + 1:])
+        yield replace(options, faults=options.faults[:number] + options.faults[number + 1 :])
     at = next((when for when, broken, _ in record.examples if broken == rule), None)
     if at is not None and at / 1000.0 + AFTER_S < options.seconds:
         yield replace(options, seconds=round(at / 1000.0 + AFTER_S, 1))
@@ -127,5 +146,4 @@
             value = getattr(fault, name)
             if value / 2.0 >= least:
                 half = replace(fault, **{name: round(value / 2.0, 2)})
-                yield replace(
-                    options, faults=(*options.faults[:number], half, *options.faults[number + 1:]))
+                yield replace(options, faults=(*options.faults[:number], half, *options.faults[number + 1 :]))
--- a/emulator/world.py
+++ b/emulator/world.py
@@ -47,8 +47,16 @@
     faults: tuple[Fault, ...] = ()
 
     def __post_init__(self) -> None:
-        for name, least in (("gateways", 1), ("backends", 1), ("cores", 1), ("zones", 1), ("regions", 1),
-                            ("sockets", 64), ("customers", 0), ("hollow", 0)):
+        for name, least in (
+            ("gateways", 1),
+            ("backends", 1),
+            ("cores", 1),
+            ("zones", 1),
+            ("regions", 1),
+            ("sockets", 64),
+            ("customers", 0),
+            ("hollow", 0),
+        ):
             value = getattr(self, name)
             if not isinstance(value, int) or value < least:
                 raise ValueError(f"{name}: {value!r} is no whole number from {least}")
@@ -256,21 +264,30 @@
         return found
 
     def _found(self) -> Record:
-        late = sum(gateway.unanswered() for gateway in self.gateways[len(self.whole):])
+        late = sum(gateway.unanswered() for gateway in self.gateways[len(self.whole) :])
         broken = self.checks.broken + self.record.broken
         if late:
             broken["never answered"] += late
         asked = self.checks.asked
         return Record(
-            options=self.options, digest=self.network.digest(), bytes=self.network.bytes,
-            connections=self.network.connections, figures=figures(self),
-            outcomes=dict(sorted(self.outcomes.items())), broken=dict(sorted(broken.items())),
+            options=self.options,
+            digest=self.network.digest(),
+            bytes=self.network.bytes,
+            connections=self.network.connections,
+            figures=figures(self),
+            outcomes=dict(sorted(self.outcomes.items())),
+            broken=dict(sorted(broken.items())),
             examples=tuple((at - BEGIN_MS, rule, about) for at, rule, about in self.checks.examples),
             traces={
                 about: tuple((at - BEGIN_MS, text) for at, text in asked[about].trace)
-                for _, _, about in self.checks.examples if about in asked},
-            errors=tuple(self.errors), latency=self.latency, starts_ms=tuple(self.starts),
-            most_descriptors=max((gateway.most_descriptors() for gateway in self.whole), default=0))
+                for _, _, about in self.checks.examples
+                if about in asked
+            },
+            errors=tuple(self.errors),
+            latency=self.latency,
+            starts_ms=tuple(self.starts),
+            most_descriptors=max((gateway.most_descriptors() for gateway in self.whole), default=0),
+        )
 
 
 class _Errors(logging.Handler):
@@ -299,4 +316,3 @@
 def play(options: Options, progress: Callable[[float], None] = lambda share: None) -> Record:
     """One day from its options. Raises ValueError where these can't be played, before anything is."""
     return World(options).play(progress)
-
--- a/experiments/chart.py
+++ b/experiments/chart.py
@@ -96,10 +96,15 @@
         low, high, y_low, y_high = self._ranges()
         across, up = (self.right - self.left) / (high - low), (self.bottom - self.top) / (y_high - y_low)
         return [
-            (line, " ".join(
-                f"{self.left + (x - low) * across:.1f},{self.bottom - (self._y(y) - y_low) * up:.1f}"
-                for x, y in line.points))
-            for line in self.lines]
+            (
+                line,
+                " ".join(
+                    f"{self.left + (x - low) * across:.1f},{self.bottom - (self._y(y) - y_low) * up:.1f}"
+                    for x, y in line.points
+                ),
+            )
+            for line in self.lines
+        ]
 
     def shades(self) -> list[tuple[float, float]]:
         """Begin and width of each band in px, inside the area of the lines."""
--- a/experiments/command.py
+++ b/experiments/command.py
@@ -31,10 +31,18 @@
 
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path))
-@click.option("--out", type=click.Path(path_type=Path, file_okay=False),
-              help="Folder for the results, new or empty.  [default: results/ and the file's name]")
-@click.option("--processes", type=click.IntRange(1, MOST_PROCESSES), default=PROCESSES, show_default=True,
-              help="Runs side by side.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder for the results, new or empty.  [default: results/ and the file's name]",
+)
+@click.option(
+    "--processes",
+    type=click.IntRange(1, MOST_PROCESSES),
+    default=PROCESSES,
+    show_default=True,
+    help="Runs side by side.",
+)
 def experiment(file: Path, out: Path | None, processes: int) -> None:
     """Play the experiment that FILE (TOML) tells of.
 
@@ -81,9 +89,20 @@
     partial = [str(r.folder) for r in (first, second) if r.state["partial"]]
     settings = noise.differing(first, second)
     if as_json:
-        click.echo(json.dumps({
-            "a": str(a), "b": str(b), "test": noise.TEST, "partial": partial, "without_partner": alone,
-            "settings": settings, "figures": [asdict(figure) for figure in found]}, indent=1))
+        click.echo(
+            json.dumps(
+                {
+                    "a": str(a),
+                    "b": str(b),
+                    "test": noise.TEST,
+                    "partial": partial,
+                    "without_partner": alone,
+                    "settings": settings,
+                    "figures": [asdict(figure) for figure in found],
+                },
+                indent=1,
+            )
+        )
         return
     for folder in partial:
         _tell(f"{folder} is partial")
@@ -92,9 +111,20 @@
     for name, pairs in settings.items():
         _tell(f"{name} differs: {'; '.join(f'{mine} and {its}' for mine, its in pairs)}")
     rows = [
-        ("" if place else figure.figure, at.point, at.a, at.b, at.median, f"[{at.least:.4g}, {at.most:.4g}]",
-         at.seeds, f"{at.p:.3g}", at.verdict)
-        for figure in found for place, at in enumerate(figure.differences)]
+        (
+            "" if place else figure.figure,
+            at.point,
+            at.a,
+            at.b,
+            at.median,
+            f"[{at.least:.4g}, {at.most:.4g}]",
+            at.seeds,
+            f"{at.p:.3g}",
+            at.verdict,
+        )
+        for figure in found
+        for place, at in enumerate(figure.differences)
+    ]
     head = ("figure", "point", "A", "B", "B - A, median", "least and most", "seeds", "p", "verdict")
     click.echo(table(head, rows))
     click.echo(f"Higher or lower: {noise.TEST}.")
--- a/experiments/noise.py
+++ b/experiments/noise.py
@@ -12,7 +12,8 @@
 SURE = 0.05  # p below this, after Holm's correction, is called outside the noise
 TEST = (
     "two-sided exact sign test over the seeds, p corrected by Holm for the number of figures at that point, "
-    "under 0.05")
+    "under 0.05"
+)
 ALL = "all points"
 Pairs = dict[str, dict[int, list[tuple[float, float]]]]  # figure, seed: values of a and b
 
@@ -105,7 +106,8 @@
             found.setdefault(figure, []).append(difference)
     return [
         Compared(figure, tuple(found[figure]))
-        for figure in sorted(found, key=lambda figure: (order[figure.split(".")[0]], figure))]
+        for figure in sorted(found, key=lambda figure: (order[figure.split(".")[0]], figure))
+    ]
 
 
 def _at(point: str, figures: Pairs) -> Iterator[tuple[str, Difference]]:
@@ -119,24 +121,37 @@
         elif p < SURE:
             verdict = "higher" if median(differences) > 0 else "lower"
         # The least p that so many seeds can have, and what Holm makes of it.
-        elif len(figures) * 2.0 / 2.0**len(differences) >= SURE:
+        elif len(figures) * 2.0 / 2.0 ** len(differences) >= SURE:
             verdict = "too few seeds"
         else:
             verdict = "within noise"
-        yield figure, Difference(
-            point, len(differences), median(a for a, _ in values), median(b for _, b in values),
-            median(differences), min(differences), max(differences), p, verdict)
+        yield (
+            figure,
+            Difference(
+                point,
+                len(differences),
+                median(a for a, _ in values),
+                median(b for _, b in values),
+                median(differences),
+                min(differences),
+                max(differences),
+                p,
+                verdict,
+            ),
+        )
 
 
 def twins(results: Results) -> list[Compared]:
     """What the faults of a result did: b is the run with them, a the same without. Empty without twins."""
     without = [record for record in results.records if not record["faulted"]]
     return paired(
-        without, [record for record in results.records if record["faulted"]], results.state["figures"])
+        without, [record for record in results.records if record["faulted"]], results.state["figures"]
+    )
 
 
 def compare(a: Results, b: Results) -> tuple[list[Compared], int]:
     """Two results by point, faults and seed, over the figures of `a`; and how many runs have no partner."""
+
     def faulted(results: Results) -> list[dict]:
         return [record for record in results.records if record["faulted"]]
 
--- a/experiments/page.py
+++ b/experiments/page.py
@@ -52,12 +52,22 @@
             else:
                 whole.add(found)
         if whole is not None and whole.get_total_count():
-            lines.append(Line(
-                point, list(enumerate(percentiles(whole).values())), COLOURS[place % len(COLOURS)],
-                place >= len(COLOURS)))
+            lines.append(
+                Line(
+                    point,
+                    list(enumerate(percentiles(whole).values())),
+                    COLOURS[place % len(COLOURS)],
+                    place >= len(COLOURS),
+                )
+            )
     return Chart(
-        f"{HISTOGRAMS[name]}, all seeds", "percentile", "ms", lines, names=[f"{p:g}" for p in PERCENTILES],
-        log=True)
+        f"{HISTOGRAMS[name]}, all seeds",
+        "percentile",
+        "ms",
+        lines,
+        names=[f"{p:g}" for p in PERCENTILES],
+        log=True,
+    )
 
 
 def _rows(records: list[dict]) -> list[dict[str, float]]:
@@ -75,10 +85,12 @@
 
 def _over_time(point: str, what: str, records: list[dict], without: list[dict]) -> Chart:
     """One column over time: with faults, and pale without them; `served` as a share, others a second."""
+
     def line(label: str, chosen: list[dict], colour: str, dashed: bool) -> Line:
         values = [
             share(row["served"], row["asked"]) if what == "served" else row[what] / len(chosen)
-            for row in _rows(chosen)]
+            for row in _rows(chosen)
+        ]
         return Line(label, [(second + 0.5, value) for second, value in enumerate(values)], colour, dashed)
 
     lines = [line("without faults", without, PALE, True)] if without else []
@@ -97,23 +109,33 @@
         (faulted if record["faulted"] else without)[record["point"]].append(record)
     drawn = {point: faulted[point] for point in list(faulted)[:MOST_POINTS]}
     environment = Environment(
-        loader=PackageLoader("experiments", "."), autoescape=True, undefined=StrictUndefined,
-        trim_blocks=True, lstrip_blocks=True)
+        loader=PackageLoader("experiments", "."),
+        autoescape=True,
+        undefined=StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+    )
     environment.filters["number"] = number
     return environment.get_template("page.html").render(
-        state=results.state, points=results.points,
+        state=results.state,
+        points=results.points,
         seeds=sorted({record["seed"] for record in results.records}),
         faults=sorted({fault["name"] for record in results.records for fault in record["faults"]}),
         rows=_table(results, [record for records in faulted.values() for record in records]),
-        costs=noise.twins(results), test=noise.TEST,
+        costs=noise.twins(results),
+        test=noise.TEST,
         broken=[record for record in results.records if record["figures"]["broken"]],
         latency=[_latency(name, drawn) for name in HISTOGRAMS],
         times=[
             (title, [_over_time(point, what, records, without[point]) for point, records in drawn.items()])
             for title, what in (
-                ("Served worth over time", "served"), ("Load over time", "tries"),
-                ("Counter calls over time", "calls"))],
-        left_out=len(faulted) - len(drawn))
+                ("Served worth over time", "served"),
+                ("Load over time", "tries"),
+                ("Counter calls over time", "calls"),
+            )
+        ],
+        left_out=len(faulted) - len(drawn),
+    )
 
 
 def write(results: Results) -> Path:
--- a/experiments/plan.py
+++ b/experiments/plan.py
@@ -26,8 +26,16 @@
 # What the module may be told otherwise than the world has it: settings that it decides by. Rules (classes,
 # plans, clocks) are not among them.
 MODULE = (
-    "counter_price", "may_advise", "most_retry_after_ms", "most_attempts", "most_out", "cold_from", "cold_ms",
-    "fall_multiple", "cross_zone_price")
+    "counter_price",
+    "may_advise",
+    "most_retry_after_ms",
+    "most_attempts",
+    "most_out",
+    "cold_from",
+    "cold_ms",
+    "fall_multiple",
+    "cross_zone_price",
+)
 PARTS = ("name", "question", "seeds", "fleet", "load", "module", "faults", "sweep", "compare")
 
 
@@ -127,7 +135,7 @@
         head = "".join(f"{part}." for part in parts[:depth])
         known = sorted({name.removeprefix(head).split(".")[0] for name in SETTINGS if name.startswith(head)})
         if parts[depth] not in known:
-            return _Refused(".".join(parts[:depth + 1]), f"no such key; allowed: {', '.join(known)}")
+            return _Refused(".".join(parts[: depth + 1]), f"no such key; allowed: {', '.join(known)}")
     return _Refused(key, "is a table")
 
 
@@ -176,8 +184,11 @@
 
 
 def _plain(value: object) -> str:
-    return "-".join(map(str, value)) if isinstance(value, tuple) else (
-        f"{value:g}" if isinstance(value, float) else str(value))
+    return (
+        "-".join(map(str, value))
+        if isinstance(value, tuple)
+        else (f"{value:g}" if isinstance(value, float) else str(value))
+    )
 
 
 def _run(settings: dict[str, object], label: str, seed: int) -> Run:
@@ -197,7 +208,8 @@
                 raise _Refused(f"faults.{fault}.{key}", "is missing")
         if told["at"] + told["length"] > made.seconds:
             raise _Refused(
-                f"faults.{fault}", f"is not over within load.seconds ({made.seconds:g}) at {label!r}")
+                f"faults.{fault}", f"is not over within load.seconds ({made.seconds:g}) at {label!r}"
+            )
     if made.regions > made.zones:
         raise _Refused("fleet.regions", f"there are no more regions than zones ({made.zones}) at {label!r}")
     if made.warm_up >= made.seconds:
--- a/experiments/play.py
+++ b/experiments/play.py
@@ -63,17 +63,23 @@
     if run.faulted:
         for fault in run.faults:
             world.clock.at(
-                world.begin + fault.at * 1000.0, FAULTS[fault.name].call, world, fault.length * 1000.0)
+                world.begin + fault.at * 1000.0, FAULTS[fault.name].call, world, fault.length * 1000.0
+            )
     world.clock.at(world.begin + LOOK_MS, _look, world, stopped)
     figures = world.play()
     columns = {
         field.name: [getattr(second, field.name) for second in world.record.seconds]
-        for field in fields(Second)}
+        for field in fields(Second)
+    }
     times = {name: getattr(world.record, name) for name in HISTOGRAMS}
     return {
-        "point": run.point, "seed": run.seed, "faulted": run.faulted,
-        "faults": [asdict(fault) for fault in run.faults], "module": dict(run.module),
-        "options": asdict(run.options), "figures": {**figures, **_over_faults(run, columns)},
+        "point": run.point,
+        "seed": run.seed,
+        "faulted": run.faulted,
+        "faults": [asdict(fault) for fault in run.faults],
+        "module": dict(run.module),
+        "options": asdict(run.options),
+        "figures": {**figures, **_over_faults(run, columns)},
         "seconds": columns,
         "latency_ms": {name: percentiles(found) for name, found in times.items()},
         "histograms": {name: found.encode().decode("ascii") for name, found in times.items()},
@@ -99,16 +105,21 @@
     asked, served, beyond = (columns[key] for key in ("asked", "served", "beyond"))
     during = slice(begin, max(end, begin + 1))
     asked_by_plan, served_by_plan = (
-        sum(columns[key][during], Counts()) for key in ("asked_by_plan", "served_by_plan"))
+        sum(columns[key][during], Counts()) for key in ("asked_by_plan", "served_by_plan")
+    )
     worst = [
-        share(sum(served[second:second + WORST_S]), sum(asked[second:second + WORST_S]))
-        for second in range(begin, last - WORST_S + 1) if any(asked[second:second + WORST_S])]
+        share(sum(served[second : second + WORST_S]), sum(asked[second : second + WORST_S]))
+        for second in range(begin, last - WORST_S + 1)
+        if any(asked[second : second + WORST_S])
+    ]
     return {
         "served_worth_share_in_faults": share(sum(served[during]), sum(asked[during])),
         "served_worth_share_in_faults_by_plan": {
-            plan: share(served_by_plan[plan], worth) for plan, worth in sorted(asked_by_plan.items())},
+            plan: share(served_by_plan[plan], worth) for plan, worth in sorted(asked_by_plan.items())
+        },
         "served_worth_share_worst": min(worst, default=0.0),
-        "beyond_price_in_faults": share(sum(beyond[during]), sum(asked[during]))}
+        "beyond_price_in_faults": share(sum(beyond[during]), sum(asked[during])),
+    }
 
 
 @cache
--- a/experiments/results.py
+++ b/experiments/results.py
@@ -43,8 +43,14 @@
         self._order = {(run.point, run.faulted, run.seed): n for n, run in enumerate(experiment.runs)}
         self._lines: dict[int, str] = {}
         self.state = {
-            "name": experiment.name, "question": experiment.question, "figures": experiment.figures,
-            "runs": len(experiment.runs), "ended": 0, "partial": True, "failed": []}
+            "name": experiment.name,
+            "question": experiment.question,
+            "figures": experiment.figures,
+            "runs": len(experiment.runs),
+            "ended": 0,
+            "partial": True,
+            "failed": [],
+        }
         (folder / FILE).write_bytes(experiment.text)
         self._keep_state()
         self._records = (folder / RECORDS).open("w", encoding="utf-8")
--- a/rosehitch/__main__.py
+++ b/rosehitch/__main__.py
@@ -14,8 +14,10 @@
 
 
 LATE = {  # commands of other packages, which are imported only when one is asked for
-    "emulate": "emulator.command", "search": "emulator.command",
-    "experiment": "experiments.command", "compare": "experiments.command",
+    "emulate": "emulator.command",
+    "search": "emulator.command",
+    "experiment": "experiments.command",
+    "compare": "experiments.command",
 }
 EXTRA = "needs packages that are missing here: pip install '.[scale]'"
 
@@ -35,13 +37,19 @@
 
 def lacking(name: str, error: ImportError) -> click.Command:
     """In place of a command whose packages are not installed."""
+
     @click.pass_context
     def callback(ctx: click.Context, **_) -> None:
         raise click.ClickException(f"{name} {EXTRA} ({error})")
 
     anything = click.Argument(["anything"], nargs=-1, type=click.UNPROCESSED)
-    return click.Command(name, callback=callback, params=[anything], help=f"({EXTRA})",
-                         context_settings={"ignore_unknown_options": True})
+    return click.Command(
+        name,
+        callback=callback,
+        params=[anything],
+        help=f"({EXTRA})",
+        context_settings={"ignore_unknown_options": True},
+    )
 
 
 @click.group(cls=Commands)
@@ -50,8 +58,14 @@
 
 
 @main.command()
-@click.option("--config", type=click.Path(exists=True, dir_okay=False), envvar="NODE_CONFIG", required=True,
-              show_envvar=True, help="The gateway's configuration, as JSON.")
+@click.option(
+    "--config",
+    type=click.Path(exists=True, dir_okay=False),
+    envvar="NODE_CONFIG",
+    required=True,
+    show_envvar=True,
+    help="The gateway's configuration, as JSON.",
+)
 def serve(config: str) -> None:
     """Run one gateway until SIGTERM, as `python -m elderhub` does. SIGHUP reads the configuration anew.
 
@@ -81,8 +95,10 @@
         click.echo(f"rosehitch: {error}", err=True)
         sys.exit(2)
     settings = config.settings
-    click.echo(f"{file}: usable: {len(settings.classes)} classes, {len(settings.plans)} plans, "
-               f"{len(config.known.event.backends)} backends known")
+    click.echo(
+        f"{file}: usable: {len(settings.classes)} classes, {len(settings.plans)} plans, "
+        f"{len(config.known.event.backends)} backends known"
+    )
 
 
 def check_experiment(file: str) -> None:
@@ -99,8 +115,9 @@
 
 
 @main.command()
-@click.option("--seconds", type=click.FloatRange(DEMO_LEAST_S, DEMO_MOST_S), default=DEMO_S,
-              show_default=True)
+@click.option(
+    "--seconds", type=click.FloatRange(DEMO_LEAST_S, DEMO_MOST_S), default=DEMO_S, show_default=True
+)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Of the load.")
 def demo(seconds: float, seed: int) -> None:
     """Run real gateways on loopback among stand-ins, with load, a backend that drains and one that is lost.
--- a/rosehitch/backends.py
+++ b/rosehitch/backends.py
@@ -44,7 +44,8 @@
 
     def on_message_complete(self) -> None:
         self.attempt = self._backend.rules.reached(
-            self._name, self._backend.name, self._began, time.monotonic())
+            self._name, self._backend.name, self._began, time.monotonic()
+        )
         self._work = asyncio.get_running_loop().create_task(self._backend.serve(self))
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/rosehitch/demo.py
+++ b/rosehitch/demo.py
@@ -53,17 +53,22 @@
     def verdict(self) -> list[str]:
         """Lines: each rule that was broken, then the last one."""
         rules = self.rules
-        lines = [f"broken: {rule}, {count} times, first: {rules.examples[rule]}"
-                 for rule, count in rules.broken.items()]
+        lines = [
+            f"broken: {rule}, {count} times, first: {rules.examples[rule]}"
+            for rule, count in rules.broken.items()
+        ]
         if self.late_s > LATE_TOLD_S:
-            lines.append(f"seen up to {self.late_s:.1f} s late, as on a busy machine: limits of time were "
-                         "held no closer than that")
+            lines.append(
+                f"seen up to {self.late_s:.1f} s late, as on a busy machine: limits of time were "
+                "held no closer than that"
+            )
         served, refused, failed = (self.total(end) for end in (SERVED, REFUSED, FAILED))
         asked = sum(tally.asked for tally in self.tallies.values())
         lines.append(
             f"{'interrupted; ' if self.signal else ''}{served + refused + failed} of {asked} requests "
             f"answered: {served} served, {refused} refused, {failed} failed; "
-            f"rules kept: {len(RULES) - len(rules.broken)} of {len(RULES)}")
+            f"rules kept: {len(RULES) - len(rules.broken)} of {len(RULES)}"
+        )
         return lines
 
     def exit_code(self) -> int:
@@ -94,10 +99,17 @@
             self._stack.callback(agent.close)
             self._agents.append(agent)
             obligations = {**SETTINGS["obligations"], "stopSendingWithinMs": DRAIN_S * 1000.0}
-            settings = {**SETTINGS, "me": me, "instances": GATEWAYS, "classes": CLASSES,
-                        "plans": list(PLANS.values()), "obligations": obligations}
-            program = Program(home, settings, agent.port, counter.port, self._roster.whole(),
-                              host=f"127.0.0.{2 + me}")
+            settings = {
+                **SETTINGS,
+                "me": me,
+                "instances": GATEWAYS,
+                "classes": CLASSES,
+                "plans": list(PLANS.values()),
+                "obligations": obligations,
+            }
+            program = Program(
+                home, settings, agent.port, counter.port, self._roster.whole(), host=f"127.0.0.{2 + me}"
+            )
             await program.start()
             self._stack.push_async_callback(program.end)
             self.programs.append(program)
@@ -171,7 +183,8 @@
 
 
 async def play(
-        seconds: float, seed: int, note: Callable[[str], None], show: Callable[[State], None]) -> State:
+    seconds: float, seed: int, note: Callable[[str], None], show: Callable[[State], None]
+) -> State:
     """One demo. `note` is told how the start goes, `show` the state again and again. Raises CouldNotStart."""
     state, random, stop = State(seconds), Random(seed), asyncio.Event()
 
@@ -192,8 +205,10 @@
             raise CouldNotStart(error) from None
         load = Load([program.address for program in site.programs], state.rules, random)
         state.tallies = load.tallies
-        beside = [asyncio.ensure_future(work)
-                  for work in (lateness(state), shown(state, show), troubles(site, state))]
+        beside = [
+            asyncio.ensure_future(work)
+            for work in (lateness(state), shown(state, show), troubles(site, state))
+        ]
         for task in beside:  # a reader of standard output that goes, for one
             task.add_done_callback(lambda task: task.cancelled() or task.exception() and stop.set())
         try:
--- a/rosehitch/load.py
+++ b/rosehitch/load.py
@@ -22,8 +22,14 @@
 SAFE_SHARE = 0.6  # of the requests
 PLANS = {  # in the settings' form: units a second and at once, and what no customer may be sent beyond
     "small": {"name": "small", "unitsPerS": 2.0, "depth": 6.0},
-    "large": {"name": "large", "unitsPerS": 20.0, "depth": 30.0, "hardRate": 30.0, "ceilingBurst": 45.0,
-              "tolerance": 5.0},
+    "large": {
+        "name": "large",
+        "unitsPerS": 20.0,
+        "depth": 30.0,
+        "hardRate": 30.0,
+        "ceilingBurst": 45.0,
+        "tolerance": 5.0,
+    },
 }
 ASKS = (("small", 30, 0.8), ("small", 2, 6.0), ("large", 2, 12.0), ("large", 1, 50.0))
 """Plan, customers, and how many requests a second each asks for: some ask for far more than they have."""
@@ -66,8 +72,11 @@
         self._rules, self._random, self._out = rules, random, 0
         self.tallies = {plan: Tally() for plan in PLANS}
         numbers = iter(range(1, 1 + sum(count for _, count, _ in ASKS)))
-        customers = [(Customer(n, plan, n % len(gateways)), rate)
-                     for plan, count, rate in ASKS for n in (next(numbers) for _ in range(count))]
+        customers = [
+            (Customer(n, plan, n % len(gateways)), rate)
+            for plan, count, rate in ASKS
+            for n in (next(numbers) for _ in range(count))
+        ]
         self._customers, self._weights = zip(*customers, strict=True)
 
     async def run(self, seconds: float) -> None:
@@ -106,6 +115,16 @@
         tally.asked += 1
         self._out += 1
         self._rules.asked(name, f"{customer.number:016x}", customer.plan, safe, time.monotonic() + DEADLINE_S)
-        self._connections[gateway].ask(request(
-            customer.number, customer.plan, "look" if safe else "file", safe, name, SPREAD, customer.first,
-            DEADLINE_S), done)
+        self._connections[gateway].ask(
+            request(
+                customer.number,
+                customer.plan,
+                "look" if safe else "file",
+                safe,
+                name,
+                SPREAD,
+                customer.first,
+                DEADLINE_S,
+            ),
+            done,
+        )
--- a/rosehitch/show.py
+++ b/rosehitch/show.py
@@ -35,15 +35,21 @@
     found = Table(
         title=f"{min(state.elapsed_s, state.seconds):.0f} of {state.seconds:g} s: {state.event}",
         caption=f"Latency of what was served, in ms. Units sent on, and beyond quotas.\n{quotas}",
-        box=SIMPLE_HEAD, padding=(0, 1, 0, 0))
+        box=SIMPLE_HEAD,
+        padding=(0, 1, 0, 0),
+    )
     found.add_column("plan")
     for name in ("asked", *ENDS, *(f"p{p:g}" for p in PERCENTILES), "units", "beyond"):
         found.add_column(name, justify="right")
     for name, tally in state.tallies.items():
         found.add_row(
-            name, str(tally.asked), *(str(tally.ends[end]) for end in ENDS),
-            *(latency_ms(tally, p) for p in PERCENTILES), str(state.rules.units[name]),
-            f"{state.rules.beyond[name]:.1f}")
+            name,
+            str(tally.asked),
+            *(str(tally.ends[end]) for end in ENDS),
+            *(latency_ms(tally, p) for p in PERCENTILES),
+            str(state.rules.units[name]),
+            f"{state.rules.beyond[name]:.1f}",
+        )
     return found
 
 
@@ -52,7 +58,8 @@
         f"{name}: asked {tally.asked}, {', '.join(f'{end} {tally.ends[end]}' for end in ENDS)}, "
         + ", ".join(f"p{p:g} {latency_ms(tally, p)} ms" for p in PERCENTILES)
         + f", units sent on {state.rules.units[name]}, beyond quotas {state.rules.beyond[name]:.1f}"
-        for name, tally in state.tallies.items())
+        for name, tally in state.tallies.items()
+    )
     return f"{state.elapsed_s:4.1f} s, {state.event}; {plans}"
 
 
--- a/scale/client.py
+++ b/scale/client.py
@@ -18,15 +18,23 @@
 
 
 def request(
-        customer: int, plan: str, kind: str = "read", safe: bool = True, name: str = "", spread: int = 2,
-        first: int = 0, deadline_s: float = DEADLINE_S) -> bytes:
+    customer: int,
+    plan: str,
+    kind: str = "read",
+    safe: bool = True,
+    name: str = "",
+    spread: int = 2,
+    first: int = 0,
+    deadline_s: float = DEADLINE_S,
+) -> bytes:
     """One of a unit and with no body. `name`: its id of 16 hex digits, a new one where none is given."""
     method, length = ("GET", "") if safe else ("POST", "Content-Length: 0\r\n")
     return (
         f"{method} /api/{customer:016x} HTTP/1.1\r\nHost: api.internal\r\n"
         f"X-Request-ID: {name or f'{next(NUMBERS):016x}'}\r\n"
         f"X-Priority-Class: {kind}\r\nPlan: {plan}\r\nX-Timeout: {deadline_s}\r\n{length}"
-        f"Quota-Info: units=1,spread={spread},first={first}\r\n\r\n").encode()
+        f"Quota-Info: units=1,spread={spread},first={first}\r\n\r\n"
+    ).encode()
 
 
 @dataclass
@@ -114,8 +122,7 @@
 
     async def _open(self, text: bytes, done: Done) -> None:
         try:
-            await asyncio.get_running_loop().create_connection(
-                lambda: Caller(self, text, done), *self._where)
+            await asyncio.get_running_loop().create_connection(lambda: Caller(self, text, done), *self._where)
         except OSError:
             done(0, b"")
 
@@ -148,7 +155,8 @@
         self._on_answer()
 
     async def scheduled(
-            self, rate: float, seconds: float, plan: str = "free", after_s: float = 0.0) -> Answers:
+        self, rate: float, seconds: float, plan: str = "free", after_s: float = 0.0
+    ) -> Answers:
         """Open loop: a request each 1/rate s, whether others were answered or not, timed from when it is due;
         the first `after_s` late.
 
--- a/scale/clients.py
+++ b/scale/clients.py
@@ -55,9 +55,10 @@
     """The three plans of the site, drawn from its ranges."""
     found = []
     for name, share, rate, burst_s, price, cost in (
-            ("basico", 0.3, (1.6, 2.7), (3.2, 5.5), 0.72, 0.6),
-            ("estandar", 0.44, (7.9, 14.0), (1.1, 2.7), 1.1, 0.6),
-            ("ampliado", 0.26, (31.0, 55.0), (1.3, 2.5), 1.4, 0.8)):
+        ("basico", 0.3, (1.6, 2.7), (3.2, 5.5), 0.72, 0.6),
+        ("estandar", 0.44, (7.9, 14.0), (1.1, 2.7), 1.1, 0.6),
+        ("ampliado", 0.26, (31.0, 55.0), (1.3, 2.5), 1.4, 0.8),
+    ):
         drawn = float(rng.uniform(*rate))
         burst = max(2.0 * MOST_UNITS, drawn * float(rng.uniform(*burst_s)))
         found.append(Tariff(io.Plan(name, drawn, burst, price=price, overrun_cost=cost), share))
@@ -65,9 +66,16 @@
     times = float(rng.uniform(1.7, 2.4))
     out = max(2, int(np.ceil(rng.uniform(2.0, 3.2) * top.rate / UNITS_A_MEAN * MEAN_WORK_MS / 1000.0)))
     ceiling_burst = max(4.0 * MOST_UNITS, top.burst * times)
-    found[-1] = replace(found[-1], plan=replace(
-        top, open_limit=out, ceiling_rate=top.rate * times, ceiling_burst=ceiling_burst,
-        ceiling_slack=max(0.1 * ceiling_burst, float(MOST_UNITS))))
+    found[-1] = replace(
+        found[-1],
+        plan=replace(
+            top,
+            open_limit=out,
+            ceiling_rate=top.rate * times,
+            ceiling_burst=ceiling_burst,
+            ceiling_slack=max(0.1 * ceiling_burst, float(MOST_UNITS)),
+        ),
+    )
     return tuple(found)
 
 
@@ -81,8 +89,24 @@
     """One try of a request, at one gateway. `request` is its id, fresh for each."""
 
     __slots__ = (
-        "request", "customer", "kind", "units", "work_ms", "first_at", "arrived", "deadline", "number",
-        "inside", "within", "done", "sends", "out", "ran", "worth", "gateway")
+        "request",
+        "customer",
+        "kind",
+        "units",
+        "work_ms",
+        "first_at",
+        "arrived",
+        "deadline",
+        "number",
+        "inside",
+        "within",
+        "done",
+        "sends",
+        "out",
+        "ran",
+        "worth",
+        "gateway",
+    )
 
     def __init__(self, request: str, customer: int, kind: int, units: float, work_ms: float, now: float):
         self.request, self.customer, self.kind = request, customer, kind
@@ -137,8 +161,14 @@
             factor = sum(counts) / o.customers
             counts = [max(1, round(count / factor)) for count in counts]
             tariffs = tuple(
-                replace(t, plan=replace(t.plan, rate=t.plan.rate * factor, burst=max(
-                    2.0 * MOST_UNITS, t.plan.burst * factor))) for t in tariffs)
+                replace(
+                    t,
+                    plan=replace(
+                        t.plan, rate=t.plan.rate * factor, burst=max(2.0 * MOST_UNITS, t.plan.burst * factor)
+                    ),
+                )
+                for t in tariffs
+            )
         self.plans = {t.plan.name: t.plan for t in tariffs}
         self._plan, self._first, self._spread, self._rate, spikes = [], [], [], [], []
         low, high = o.spread
@@ -149,9 +179,15 @@
                 most = min(most, max(2, int(plan.ceiling_burst / (2 * MOST_UNITS))))
             spread = draw.integers(min(low, most), most + 1, count)
             habit = draw.choice(4, count, p=odds)
-            use = np.choose(habit, [
-                draw.uniform(*CALM_USE, count), draw.uniform(*CALM_USE, count),
-                draw.uniform(*HEAVY_USE, count), draw.uniform(*FULL_USE, count)])
+            use = np.choose(
+                habit,
+                [
+                    draw.uniform(*CALM_USE, count),
+                    draw.uniform(*CALM_USE, count),
+                    draw.uniform(*HEAVY_USE, count),
+                    draw.uniform(*FULL_USE, count),
+                ],
+            )
             if not habits:
                 use = np.full(count, asked / count / plan.rate)
             base = len(self._plan)
@@ -237,8 +273,15 @@
             w.clock.at(w.clock.now + self._rng.uniform(0.0, 200.0), self._go_away, t)
         t.gateway = gateway = self._front(t.customer, gateway)
         event = io.RequestArrived(
-            t.request, self._key[t.customer], plan.name, KINDS[t.kind].io_class.name, t.deadline, t.units,
-            self._first[t.customer], self._spread[t.customer])
+            t.request,
+            self._key[t.customer],
+            plan.name,
+            KINDS[t.kind].io_class.name,
+            t.deadline,
+            t.units,
+            self._first[t.customer],
+            self._spread[t.customer],
+        )
         if not w.gateways[gateway].take(t, event):
             self.ended(t, "unreachable")
 
--- a/scale/costs.py
+++ b/scale/costs.py
@@ -35,13 +35,22 @@
 def entries(count: int, weight: float = 1.0) -> tuple[io.Backend, ...]:
     return tuple(
         io.Backend(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:7070", f"z{n % 16}", "std-3c", weight=weight)
-        for n in range(count))
+        for n in range(count)
+    )
 
 
 def settings(plans: dict[str, io.Plan]) -> io.Settings:
     return io.Settings(
-        gateways=DESIGN_GATEWAYS, zone="z0", tick_ms=4.0, counter=True, plans=plans, may_cancel=True,
-        classes={"look": io.RequestClass("look", repeat=io.Repeat.SAFE)}, most_attempts=6, cold_ms=12000.0)
+        gateways=DESIGN_GATEWAYS,
+        zone="z0",
+        tick_ms=4.0,
+        counter=True,
+        plans=plans,
+        may_cancel=True,
+        classes={"look": io.RequestClass("look", repeat=io.Repeat.SAFE)},
+        most_attempts=6,
+        cold_ms=12000.0,
+    )
 
 
 def ready(backends: int) -> Gateway:
@@ -95,14 +104,16 @@
     for number in range(customers):
         now, name = 2000.0 + number * gap_ms, f"r{number}"
         line = gateway.handle(
-            now, io.RequestArrived(name, f"{number:016x}", "team", "look", now + 1000.0, 1.0, 0, 16))
+            now, io.RequestArrived(name, f"{number:016x}", "team", "look", now + 1000.0, 1.0, 0, 16)
+        )
         while line:
             act = line.pop(0)
             if isinstance(act, io.Count):
                 line += gateway.handle(now, io.CountResult(act.name, io.Outcome.OK, act.amount, 1.0))
             elif isinstance(act, io.Send):
                 line += gateway.handle(
-                    now, io.AttemptEnded(act.request, 0, act.backend, io.Outcome.OK, True, 100.0))
+                    now, io.AttemptEnded(act.request, 0, act.backend, io.Outcome.OK, True, 100.0)
+                )
     # The alarms of the requests are due by then: what is left belongs to the customers.
     gateway.handle(2000.0 + customers * gap_ms + 2000.0, io.TimerFired("wake"))
     size, _ = tracemalloc.get_traced_memory()
@@ -135,10 +146,22 @@
         modules.append(Timed(settings, seed))
         return modules[-1]
 
-    world = World(Options(
-        gateways=2, fleet=DESIGN_GATEWAYS, backends=sized.size, rate=2.0 * PER_GATEWAY_S, mix="table",
-        spread=(2, 2), seconds=sized.seconds(12.0), counter_per_try=4.0, seed=sized.seed), module)
+    world = World(
+        Options(
+            gateways=2,
+            fleet=DESIGN_GATEWAYS,
+            backends=sized.size,
+            rate=2.0 * PER_GATEWAY_S,
+            mix="table",
+            spread=(2, 2),
+            seconds=sized.seconds(12.0),
+            counter_per_try=4.0,
+            seed=sized.seed,
+        ),
+        module,
+    )
     found = world.play()
     return {
         "us": sum(m.busy for m in modules) * 1e6 / max(1, found["tries"]),
-        "longest_ms": max(m.longest for m in modules) * 1000.0}
+        "longest_ms": max(m.longest for m in modules) * 1000.0,
+    }
--- a/scale/faults.py
+++ b/scale/faults.py
@@ -67,8 +67,11 @@
     backends = [backend for backend in world.backends.values() if backend.zone == lost]
     gateways = [gateway.number for gateway in world.gateways if gateway.zone == lost]
     _away(
-        world, for_ms, backends[:max(1, round(RACK * len(world.backends)))],
-        gateways[:max(1, round(RACK * len(world.gateways)))])
+        world,
+        for_ms,
+        backends[: max(1, round(RACK * len(world.backends)))],
+        gateways[: max(1, round(RACK * len(world.gateways)))],
+    )
 
 
 def region(world, for_ms: float) -> None:
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -48,10 +48,19 @@
         self._plan_of: dict[str, str] = {}  # of counter names
         self._event = None  # that is being handled
         self._do = {
-            io.Send: self._send, io.Reject: self._reject, io.Fail: self._fail, io.Cancel: self._cancel,
-            io.Count: self._count, io.SetTimer: self._set_timer, io.Probe: self._probe,
-            io.CloseIdle: self._close_idle, io.Subscribe: self._fetch, io.Fetch: self._fetch,
-            io.Log: self._log, io.Tell: self._tell}
+            io.Send: self._send,
+            io.Reject: self._reject,
+            io.Fail: self._fail,
+            io.Cancel: self._cancel,
+            io.Count: self._count,
+            io.SetTimer: self._set_timer,
+            io.Probe: self._probe,
+            io.CloseIdle: self._close_idle,
+            io.Subscribe: self._fetch,
+            io.Fetch: self._fetch,
+            io.Log: self._log,
+            io.Tell: self._tell,
+        }
         world.clock.at(world.clock.now + SWEEP_MS, self._sweep)
 
     # Events in, actions out.
@@ -281,8 +290,11 @@
         answers = outcome is io.Outcome.OK and t.request in self._open
         if answers:
             self._finish(t.request)
-        self.put(io.AttemptEnded(
-            t.request, attempt.number, attempt.backend.name, outcome, t.done, now - attempt.sent))
+        self.put(
+            io.AttemptEnded(
+                t.request, attempt.number, attempt.backend.name, outcome, t.done, now - attempt.sent
+            )
+        )
         if answers:
             w.clients.ended(t, "served")
 
--- a/scale/program.py
+++ b/scale/program.py
@@ -17,17 +17,35 @@
 POLL_S = 0.004  # between two looks whether a gateway is ready
 BACKENDS_PER_GATEWAY = 26000 / 3100  # of the design; the program paces itself by the gateways' number
 SETTINGS = {
-    "me": 0, "zone": "z0", "resolutionMs": 4.0, "discovery": "push", "weights": "off",
+    "me": 0,
+    "zone": "z0",
+    "resolutionMs": 4.0,
+    "discovery": "push",
+    "weights": "off",
     "classes": [
-        {"name": "read", "idempotency": "safe", "promiseMs": 1000.0, "giveUpMs": 4000.0, "worth": 1.0}],
+        {"name": "read", "idempotency": "safe", "promiseMs": 1000.0, "giveUpMs": 4000.0, "worth": 1.0}
+    ],
     "plans": [{"name": "free"}, {"name": "thin", "unitsPerS": 0.05, "depth": 4.0}],
     "familyInfo": {"counter": True, "countWaitMs": 50.0, "unitsTop": 1},
     "policyLimits": {
-        "cancel": True, "probing": False, "peerMessages": False, "mayDuplicate": False, "retryAfter": True,
-        "maxRetryAfterMs": 500.0, "tryLimit": 6, "connectTimeoutMs": 250.0, "keepaliveMs": 15000.0},
+        "cancel": True,
+        "probing": False,
+        "peerMessages": False,
+        "mayDuplicate": False,
+        "retryAfter": True,
+        "maxRetryAfterMs": 500.0,
+        "tryLimit": 6,
+        "connectTimeoutMs": 250.0,
+        "keepaliveMs": 15000.0,
+    },
     "obligations": {
-        "answerSlackMs": 16.0, "stopSendingWithinMs": 2000.0, "coldFrom": 0.24, "coldMs": 18000.0,
-        "fallMultiple": 3.0, "overloadForMs": 3000.0},
+        "answerSlackMs": 16.0,
+        "stopSendingWithinMs": 2000.0,
+        "coldFrom": 0.24,
+        "coldMs": 18000.0,
+        "fallMultiple": 3.0,
+        "overloadForMs": 3000.0,
+    },
 }
 LIMITS = {"cores": 1.0, "memory_mb": 128, "sockets": 1024}
 
@@ -81,8 +99,16 @@
     """
 
     def __init__(
-            self, home: Path, settings: dict, discovery: int, counter: int, known: tuple[bytes, ...],
-            metered: bool = False, patch: str = "", host: str = LISTEN_HOST):
+        self,
+        home: Path,
+        settings: dict,
+        discovery: int,
+        counter: int,
+        known: tuple[bytes, ...],
+        metered: bool = False,
+        patch: str = "",
+        host: str = LISTEN_HOST,
+    ):
         self._counter, self._known, self._settings = counter, known, settings
         self.address = host, free_port(host)
         self._stem = home / "{}-{}".format(*self.address)
@@ -98,10 +124,17 @@
 
     def write_config(self, discovery: int) -> None:
         """`known` is spliced in as text: a list of 100,000 entries is not parsed again here."""
-        raw = json.dumps({
-            "name": "n{}".format(self._settings["me"]), "listen": "{}:{}".format(*self.address),
-            "seed": "8c1f30d27a5be964", "discovery": f"127.0.0.1:{discovery}",
-            "counter": f"127.0.0.1:{self._counter}", "limits": LIMITS, "settings": self._settings}).encode()
+        raw = json.dumps(
+            {
+                "name": "n{}".format(self._settings["me"]),
+                "listen": "{}:{}".format(*self.address),
+                "seed": "8c1f30d27a5be964",
+                "discovery": f"127.0.0.1:{discovery}",
+                "counter": f"127.0.0.1:{self._counter}",
+                "limits": LIMITS,
+                "settings": self._settings,
+            }
+        ).encode()
         path = self._file("json")
         path.write_bytes(raw[:-1] + b',"known":' + b"".join(self._known) + b"}")
         self._config = path
@@ -109,14 +142,21 @@
     async def start(self) -> None:
         command = ["-m", "elderhub"]
         if self._code:
-            command = ["-c", f"{self._code}\nimport sys\nfrom elderhub import __main__ as main\n"
-                             "sys.exit(main.main())"]
+            command = [
+                "-c",
+                f"{self._code}\nimport sys\nfrom elderhub import __main__ as main\nsys.exit(main.main())",
+            ]
         environ = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
         with open(self._file("log"), "ab") as log:
             self.began = time.monotonic()
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *command, cwd=ROOT, env=dict(environ, NODE_CONFIG=str(self._config)),
-                stdout=log, stderr=log)
+                sys.executable,
+                *command,
+                cwd=ROOT,
+                env=dict(environ, NODE_CONFIG=str(self._config)),
+                stdout=log,
+                stderr=log,
+            )
 
     async def ready(self, within_s: float, given_up=lambda: False) -> float | None:
         """Seconds from exec until /healthz answers 200; none where it never does."""
--- a/scale/real.py
+++ b/scale/real.py
@@ -62,10 +62,18 @@
     rows: dict[str, dict] = field(default_factory=dict)
 
     def put(
-            self, name: str, unit: str, about: str, size: int, value: float | None, why: str = "",
-            size_of: str = "backends") -> None:
+        self,
+        name: str,
+        unit: str,
+        about: str,
+        size: int,
+        value: float | None,
+        why: str = "",
+        size_of: str = "backends",
+    ) -> None:
         row = self.rows.setdefault(
-            name, {"unit": unit, "about": about, "size_of": size_of, "points": [], "lacks": []})
+            name, {"unit": unit, "about": about, "size_of": size_of, "points": [], "lacks": []}
+        )
         if value is not None:
             row["points"].append((float(size), float(value)))
         if why:
@@ -73,9 +81,16 @@
 
     def figures(self) -> list[Figure]:
         return [
-            Figure(name, row["unit"], row["size_of"], tuple(row["points"]),
-                   ". ".join([row["about"], *row["lacks"]]), COMMAND)
-            for name, row in self.rows.items()]
+            Figure(
+                name,
+                row["unit"],
+                row["size_of"],
+                tuple(row["points"]),
+                ". ".join([row["about"], *row["lacks"]]),
+                COMMAND,
+            )
+            for name, row in self.rows.items()
+        ]
 
 
 class Site:
@@ -96,10 +111,12 @@
 
     @contextlib.asynccontextmanager
     async def gateway(
-            self, agent: Agent, known: tuple[bytes, ...] = (b"{}",), metered: bool = False, patch: str = ""):
+        self, agent: Agent, known: tuple[bytes, ...] = (b"{}",), metered: bool = False, patch: str = ""
+    ):
         """A gateway from its start, which need not be ready yet, to its end."""
-        program = Program(self.home, fleet_settings(agent.roster.size), agent.port, self.counter.port, known,
-                          metered, patch)
+        program = Program(
+            self.home, fleet_settings(agent.roster.size), agent.port, self.counter.port, known, metered, patch
+        )
         await program.start()
         try:
             yield program
@@ -108,7 +125,11 @@
 
 
 async def lists(
-        agents: list[Agent], roster: Roster, count: int, within_s: float, each_s: float = 0.0,
+    agents: list[Agent],
+    roster: Roster,
+    count: int,
+    within_s: float,
+    each_s: float = 0.0,
 ) -> tuple[int, bool]:
     """Whole lists to each agent's gateway, one after the other and `each_s` apart at least, until there were
     `count` or the time is up.
@@ -227,37 +248,66 @@
             """Seconds, processor time in ms, bytes, and what `work` returned."""
             began, cpu, sent = time.monotonic(), program.cpu_s(), agent.bytes + counter.bytes
             outcome = await work
-            return (time.monotonic() - began, (program.cpu_s() - cpu) * 1000.0,
-                    agent.bytes + counter.bytes - sent, outcome)
+            return (
+                time.monotonic() - began,
+                (program.cpu_s() - cpu) * 1000.0,
+                agent.bytes + counter.bytes - sent,
+                outcome,
+            )
 
         rest_s, rest_ms, rest_bytes, _ = await spent(asyncio.sleep(spans.rest_s))
         per_s, bytes_per_s = rest_ms / rest_s, rest_bytes / rest_s
         self._rest_ms_per_s = per_s
         self.put("processor time at rest", "ms/s", "Heartbeats of discovery and the counter alone", per_s)
         self.put("bytes at rest", "B/s", "Payload both ways, discovery and counter, no requests", bytes_per_s)
-        took_s, ms, size, told = await spent(
-            Changes(self._site, [agent], self._roster).flow(spans.changes_s))
+        took_s, ms, size, told = await spent(Changes(self._site, [agent], self._roster).flow(spans.changes_s))
         change_ms = max(0.0, ms - per_s * took_s) / told
-        self.put("processor time for a change", "ms", f"Of one entry, over that at rest; at "
-                 f"{CHANGES_PER_S:.0f}/s without requests", change_ms)
-        self.put("bytes of a change", "B", "Payload, over that at rest",
-                 max(0.0, size - bytes_per_s * took_s) / told)
+        self.put(
+            "processor time for a change",
+            "ms",
+            f"Of one entry, over that at rest; at {CHANGES_PER_S:.0f}/s without requests",
+            change_ms,
+        )
+        self.put(
+            "bytes of a change",
+            "B",
+            "Payload, over that at rest",
+            max(0.0, size - bytes_per_s * took_s) / told,
+        )
         for name, rate, how in (
-                ("a day's mean", CHANGES_A_DAY / 86400, f"{CHANGES_A_DAY} changes a day"),
-                ("the worst minute", WORST_MINUTE / 60, f"{WORST_MINUTE} changes in a minute (assumed)")):
-            self.put(f"processor time for control, {name}", "% of a core",
-                     f"At rest and {how}: worked out from the two above", (per_s + rate * change_ms) / 10)
+            ("a day's mean", CHANGES_A_DAY / 86400, f"{CHANGES_A_DAY} changes a day"),
+            ("the worst minute", WORST_MINUTE / 60, f"{WORST_MINUTE} changes in a minute (assumed)"),
+        ):
+            self.put(
+                f"processor time for control, {name}",
+                "% of a core",
+                f"At rest and {how}: worked out from the two above",
+                (per_s + rate * change_ms) / 10,
+            )
         self._roster.prepare(spans.lists)
         took_s, ms, size, (sent, taken) = await spent(lists([agent], self._roster, spans.lists, LIMIT_S))
         refused = "" if taken else "a whole list is refused"
-        self.put("processor time for a whole list", "ms", "Over that at rest, without requests; one entry in "
-                 "a hundred has started anew in each",
-                 max(0.0, ms - per_s * took_s) / sent if taken else None, refused)
-        self.put("bytes of a whole list", "B", "Payload, with its watch",
-                 size / sent if taken else sum(map(len, self._roster.whole())),
-                 refused and f"{refused}, the bytes are its own")
-        self.put("resident memory, most while whole lists come", "MiB", "VmHWM after them",
-                 program.memory_mb()[1] if taken else None, refused)
+        self.put(
+            "processor time for a whole list",
+            "ms",
+            "Over that at rest, without requests; one entry in a hundred has started anew in each",
+            max(0.0, ms - per_s * took_s) / sent if taken else None,
+            refused,
+        )
+        self.put(
+            "bytes of a whole list",
+            "B",
+            "Payload, with its watch",
+            size / sent if taken else sum(map(len, self._roster.whole())),
+            refused and f"{refused}, the bytes are its own",
+        )
+        self.put(
+            "resident memory, most while whole lists come",
+            "MiB",
+            "VmHWM after them",
+            program.memory_mb()[1] if taken else None,
+            refused,
+        )
 
     # Stalls, with requests.
 
@@ -273,15 +323,20 @@
             task = asyncio.create_task(work)
             answers, bare = await asyncio.gather(
                 client.scheduled(REQUESTS_PER_S, seconds),
-                straight.scheduled(REQUESTS_PER_S, seconds, after_s=0.5 / REQUESTS_PER_S))
+                straight.scheduled(REQUESTS_PER_S, seconds, after_s=0.5 / REQUESTS_PER_S),
+            )
             outcome = await task
             refused = "a whole list is refused" if outcome is False else ""
             self._put_added(phase, answers, bare, refused)
-            self.put(f"longest step of the loop, {phase}", "ms",
-                     "How late a timer of 1 ms is, less what the process waited for a processor, inside a "
-                     "second gateway that gets the lists and changes but no requests; "
-                     f"{METER_LEAST_MS} is that or less",
-                     None if refused else metered.longest_step_ms(since, time.monotonic()), refused)
+            self.put(
+                f"longest step of the loop, {phase}",
+                "ms",
+                "How late a timer of 1 ms is, less what the process waited for a processor, inside a "
+                "second gateway that gets the lists and changes but no requests; "
+                f"{METER_LEAST_MS} is that or less",
+                None if refused else metered.longest_step_ms(since, time.monotonic()),
+                refused,
+            )
 
         async def flow_of_lists() -> bool:
             return (await lists(agents, roster, most, seconds, LIST_EACH_S))[1]
@@ -294,39 +349,68 @@
         since, cpu_s = time.monotonic(), plain.cpu_s()
         await measure(QUIET, asyncio.sleep(seconds))
         spent_ms = (plain.cpu_s() - cpu_s) * 1000.0 - self._rest_ms_per_s * (time.monotonic() - since)
-        self.put("processor time for a request", "ms",
-                 f"Of the gateway, over that at rest; nothing else comes, {REQUESTS_PER_S:.0f} requests/s",
-                 spent_ms / max(1, backends.requests - requests))
+        self.put(
+            "processor time for a request",
+            "ms",
+            f"Of the gateway, over that at rest; nothing else comes, {REQUESTS_PER_S:.0f} requests/s",
+            spent_ms / max(1, backends.requests - requests),
+        )
         client.close()
         straight.close()
-        self.put("new connections a request", "1", "Accepted by the backends, at "
-                 f"{REQUESTS_PER_S:.0f} requests/s and after {2 * seconds:.0f} s of them",
-                 (backends.accepted - accepted) / max(1, backends.requests - requests))
+        self.put(
+            "new connections a request",
+            "1",
+            "Accepted by the backends, at "
+            f"{REQUESTS_PER_S:.0f} requests/s and after {2 * seconds:.0f} s of them",
+            (backends.accepted - accepted) / max(1, backends.requests - requests),
+        )
         force = changes.in_force_ms
         never = f"{changes.never} not in force within {IN_FORCE_S:.0f} s" if changes.never else ""
-        about = ("From the agent's write of a leave until the gateway has ended its connection there and the "
-                 "last request has come")
-        self.put("time until a change is in force, median", "ms", about,
-                 float(np.median(force)) if force else None, never)
-        self.put("time until a change is in force, most", "ms", f"{about}; of {len(force)}",
-                 max(force, default=None), never)
+        about = (
+            "From the agent's write of a leave until the gateway has ended its connection there and the "
+            "last request has come"
+        )
+        self.put(
+            "time until a change is in force, median",
+            "ms",
+            about,
+            float(np.median(force)) if force else None,
+            never,
+        )
+        self.put(
+            "time until a change is in force, most",
+            "ms",
+            f"{about}; of {len(force)}",
+            max(force, default=None),
+            never,
+        )
 
     def _put_added(self, phase: str, answers: Answers, bare: Answers, refused: str) -> None:
         straight_ms = float(np.median(bare.took_ms))
         for what, share in (("median", 50), ("99th percentile", 99), ("most", 100)):
-            self.put(f"added time, {phase}: {what}", "ms",
-                     f"From when a request was due, each 1/{REQUESTS_PER_S:.0f} s, to its answer's last "
-                     "byte, less the median of the same client's requests straight to a backend, over kept "
-                     "connections and half-way between; the backends answer at once",
-                     None if refused else float(np.percentile(answers.took_ms, share)) - straight_ms,
-                     refused or answers.unserved())
+            self.put(
+                f"added time, {phase}: {what}",
+                "ms",
+                f"From when a request was due, each 1/{REQUESTS_PER_S:.0f} s, to its answer's last "
+                "byte, less the median of the same client's requests straight to a backend, over kept "
+                "connections and half-way between; the backends answer at once",
+                None if refused else float(np.percentile(answers.took_ms, share)) - straight_ms,
+                refused or answers.unserved(),
+            )
         for what, share in (("median", 50), ("99th percentile", 99)):
-            self.put(f"straight to a backend, {phase}: {what}", "ms",
-                     "No gateway: what the rig, the loopback and the machine take themselves",
-                     float(np.percentile(bare.took_ms, share)), bare.unserved())
-        self.put(f"the rig's own lateness, {phase}: 99th percentile", "ms",
-                 "Of sending a request, as where the machine is busy; it is part of the added times",
-                 float(np.percentile(answers.late_ms, 99)))
+            self.put(
+                f"straight to a backend, {phase}: {what}",
+                "ms",
+                "No gateway: what the rig, the loopback and the machine take themselves",
+                float(np.percentile(bare.took_ms, share)),
+                bare.unserved(),
+            )
+        self.put(
+            f"the rig's own lateness, {phase}: 99th percentile",
+            "ms",
+            "Of sending a request, as where the machine is busy; it is part of the added times",
+            float(np.percentile(answers.late_ms, 99)),
+        )
 
     # SIGHUP, starts.
 
@@ -350,14 +434,20 @@
         if not opened:
             took = None
         why = "the whole list there is refused" if there.refused else f"not within {IN_FORCE_S:.0f} s"
-        self.put("time until a new address of discovery is in force", "s", "From SIGHUP until a leave that "
-                 "only the list there tells is in force", took, why if took is None else "")
+        self.put(
+            "time until a new address of discovery is in force",
+            "s",
+            "From SIGHUP until a leave that only the list there tells is in force",
+            took,
+            why if took is None else "",
+        )
 
     async def _starts(self, known: tuple[bytes, ...]) -> None:
         for name, known_too, mute, how in (
-                ("list known", True, False, "the list in its file and an agent with nothing new"),
-                ("nothing known", False, False, "the whole list from discovery"),
-                ("discovery silent", True, True, "the list in its file and an agent that says nothing")):
+            ("list known", True, False, "the list in its file and an agent with nothing new"),
+            ("nothing known", False, False, "the whole list from discovery"),
+            ("discovery silent", True, True, "the list in its file and an agent that says nothing"),
+        ):
             self._note(f"starts, {name}")
             took = []
             for _ in range(self._spans.starts):
@@ -369,9 +459,13 @@
                 if took[-1] is None:
                     break
             why = "the whole list is refused" if agent.refused else "never ready"
-            self.put(f"time to ready, {name}", "s", f"From exec to 200 on /healthz, with {how}; median of "
-                     f"{self._spans.starts}", None if None in took else float(np.median(took)),
-                     why if None in took else "")
+            self.put(
+                f"time to ready, {name}",
+                "s",
+                f"From exec to 200 on /healthz, with {how}; median of {self._spans.starts}",
+                None if None in took else float(np.median(took)),
+                why if None in took else "",
+            )
 
 
 async def customers_seen(site: Site, spans: Spans, sheet: Sheet, note: Callable[[str], None]) -> None:
@@ -391,9 +485,16 @@
             why = answers.unserved()
             if seen < count:
                 why = f"only {seen} in {CUSTOMERS_WITHIN_S:.0f} s"
-            sheet.put("memory of customers seen", "MiB", "VmRSS over that before, one request of each on a "
-                      f"plan with a small quota; {roster.size} backends",
-                      count, program.memory_mb()[0] - before if seen >= count else None, why, "customers")
+            sheet.put(
+                "memory of customers seen",
+                "MiB",
+                "VmRSS over that before, one request of each on a "
+                f"plan with a small quota; {roster.size} backends",
+                count,
+                program.memory_mb()[0] - before if seen >= count else None,
+                why,
+                "customers",
+            )
             if seen < count:
                 break
         client.close()
--- a/scale/record.py
+++ b/scale/record.py
@@ -85,12 +85,21 @@
     asked_by_plan = sum((second.asked_by_plan for second in r.seconds), Counts())
     served_by_plan = sum((second.served_by_plan for second in r.seconds), Counts())
     return {
-        "first_tries": r.first_tries, "tries": r.tries, "sent_inside": r.inside, "sent_beyond": r.beyond,
-        "served": r.served, "served_late": r.served_late, "refused": r.refused, "failed": r.failed,
-        "lost": r.lost, "left": r.left, "attempts": r.attempts,
+        "first_tries": r.first_tries,
+        "tries": r.tries,
+        "sent_inside": r.inside,
+        "sent_beyond": r.beyond,
+        "served": r.served,
+        "served_late": r.served_late,
+        "refused": r.refused,
+        "failed": r.failed,
+        "lost": r.lost,
+        "left": r.left,
+        "attempts": r.attempts,
         "served_worth_share": share(r.worth_served, r.worth_asked),
         "served_worth_share_by_plan": {
-            plan: share(served_by_plan[plan], worth) for plan, worth in sorted(asked_by_plan.items())},
+            plan: share(served_by_plan[plan], worth) for plan, worth in sorted(asked_by_plan.items())
+        },
         "beyond_price": share(r.beyond_cost, r.worth_asked),
         "beyond_worth_share": share(r.worth_beyond, r.worth_inside + r.worth_beyond),
         "refused_with_room_share": share(r.refused_with_room, r.tries),
@@ -105,14 +114,17 @@
         "counter_calls_per_try": share(counter.calls.total(), r.tries),
         "counter_calls_per_first_try": share(counter.calls.total(), r.first_tries),
         "counter_calls_by_plan": {
-            plan: share(counter.calls[plan], tries) for plan, tries in sorted(r.tries_by_plan.items())},
+            plan: share(counter.calls[plan], tries) for plan, tries in sorted(r.tries_by_plan.items())
+        },
         "counter_unanswered_share": share(counter.unanswered, counter.calls.total()),
         "counter_names_most": counter.most_names,
         "connections_per_try": share(r.connections, sent),
         "connections_most_on_a_backend": max((b.most_connections for b in backends), default=0),
         "busiest_backend_over_mean": share(max(loads, default=0.0), share(sum(loads), len(loads))),
-        "cold_backends_fallen": r.fallen, "changes_in_force_ms": world.discovery.most_late_ms,
+        "cold_backends_fallen": r.fallen,
+        "changes_in_force_ms": world.discovery.most_late_ms,
         "cold_load_of_budget_most": max(cold, default=0.0),
-        "customers_seen": len(world.accounts), "outcomes": dict(sorted(r.outcomes.items())),
+        "customers_seen": len(world.accounts),
+        "outcomes": dict(sorted(r.outcomes.items())),
         "broken": dict(sorted(r.broken.items())),
     }
--- a/scale/standins.py
+++ b/scale/standins.py
@@ -40,10 +40,19 @@
         return socket.inet_ntoa((FIRST_HOST + number).to_bytes(4))
 
     def entry(self, number: int, lifecycle: str = "Ready", started_ms: int = STARTED_MS) -> bytes:
-        return json.dumps({
-            "instanceId": f"s-{number:08x}", "hostPort": f"{self.host(number)}:{self._port}",
-            "zone": f"z{number % ZONES}", "machineType": "m1", "cell": number // ZONES,
-            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started_ms}, separators=(",", ":")).encode()
+        return json.dumps(
+            {
+                "instanceId": f"s-{number:08x}",
+                "hostPort": f"{self.host(number)}:{self._port}",
+                "zone": f"z{number % ZONES}",
+                "machineType": "m1",
+                "cell": number // ZONES,
+                "lifecycle": lifecycle,
+                "weight": 1.0,
+                "startedAtMs": started_ms,
+            },
+            separators=(",", ":"),
+        ).encode()
 
     def prepare(self, count: int) -> None:
         """Make the text of the next whole lists ahead of time, each with some entries that started anew."""
@@ -132,7 +141,7 @@
     async def _line(self, writer: asyncio.StreamWriter, *parts: bytes) -> None:
         for view in map(memoryview, parts):
             for start in range(0, len(view), PIECE_BYTES):
-                piece = view[start:start + PIECE_BYTES]
+                piece = view[start : start + PIECE_BYTES]
                 await self._write(writer, b"%x\r\n%b\r\n" % (len(piece), piece))
         await self._write(writer, HEARTBEAT)  # the line's end
 
@@ -265,7 +274,8 @@
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo\0")  # nobody else's to reach
         listening.bind(("0.0.0.0", 0))
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Served(self), sock=listening, backlog=1024)
+            lambda: Served(self), sock=listening, backlog=1024
+        )
         self.port = listening.getsockname()[1]
         return self
 
--- a/scale/world.py
+++ b/scale/world.py
@@ -76,8 +76,13 @@
         for number in range(o.backends):
             self.add_backend(number, zones[number % o.zones])
         self.counter = Counter(
-            self.clock, self.links, zones[0], o.counter_parts, max(1.0, o.counter_per_try * o.rate_per_s),
-            COUNTER_WAIT_MS)
+            self.clock,
+            self.links,
+            zones[0],
+            o.counter_parts,
+            max(1.0, o.counter_per_try * o.rate_per_s),
+            COUNTER_WAIT_MS,
+        )
         self.discovery = Discovery(self.clock, self.links, zones[0], Random(o.seed + 1))
         self.discovery.start(map(self.entry, self.backends.values()))
         if o.mix == "table":
@@ -113,21 +118,42 @@
     def _gateway(self, number: int) -> HollowGateway:
         zone = self.links.zones[number % self.options.zones]
         found = HollowGateway(
-            self, number, zone, self.settings(number, zone), self.rng.getrandbits(48), **self._module)
+            self, number, zone, self.settings(number, zone), self.rng.getrandbits(48), **self._module
+        )
         self.discovery.join(found)
         return found
 
     def settings(self, number: int, zone: str) -> io.Settings:
         """What that gateway is told at its start."""
         return io.Settings(
-            me=number, gateways=self.options.fleet or self.options.gateways, zone=zone, tick_ms=4.0,
-            classes={kind.io_class.name: kind.io_class for kind in KINDS}, plans=self.clients.plans,
-            counter=True, counter_wait_ms=COUNTER_WAIT_MS, counter_price=0.02, most_units=float(MOST_UNITS),
-            may_cancel=True, may_probe=True, may_advise=True, most_retry_after_ms=500.0, most_attempts=6,
-            connect_timeout_ms=limits.CONNECT_MS, answer_slack_ms=16.0, drain_grace_ms=2000.0,
-            cold_from=limits.COLD_FROM, cold_ms=limits.COLD_MS, fall_multiple=limits.FALL_MULTIPLE,
-            fall_ms=limits.FALL_MS, cross_zone_price=0.01, waste_price=0.08, late_fail_price=0.05,
-            probe_price=0.01, weights="rough")
+            me=number,
+            gateways=self.options.fleet or self.options.gateways,
+            zone=zone,
+            tick_ms=4.0,
+            classes={kind.io_class.name: kind.io_class for kind in KINDS},
+            plans=self.clients.plans,
+            counter=True,
+            counter_wait_ms=COUNTER_WAIT_MS,
+            counter_price=0.02,
+            most_units=float(MOST_UNITS),
+            may_cancel=True,
+            may_probe=True,
+            may_advise=True,
+            most_retry_after_ms=500.0,
+            most_attempts=6,
+            connect_timeout_ms=limits.CONNECT_MS,
+            answer_slack_ms=16.0,
+            drain_grace_ms=2000.0,
+            cold_from=limits.COLD_FROM,
+            cold_ms=limits.COLD_MS,
+            fall_multiple=limits.FALL_MULTIPLE,
+            fall_ms=limits.FALL_MS,
+            cross_zone_price=0.01,
+            waste_price=0.08,
+            late_fail_price=0.05,
+            probe_price=0.01,
+            weights="rough",
+        )
 
     def _begin_record(self) -> None:
         self.record = Record(broken=self.record.broken)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,9 +6,21 @@
 
 def settings(**changes):
     base = dict(
-        me=0, gateways=2, zone="z1", tick_ms=4.0, counter=True, counter_wait_ms=50.0, may_cancel=True,
-        may_duplicate=True, most_attempts=4, answer_slack_ms=16.0, drain_grace_ms=500.0, cold_from=0.2,
-        cold_ms=10000.0, fall_multiple=3.0, fall_ms=1000.0,
+        me=0,
+        gateways=2,
+        zone="z1",
+        tick_ms=4.0,
+        counter=True,
+        counter_wait_ms=50.0,
+        may_cancel=True,
+        may_duplicate=True,
+        most_attempts=4,
+        answer_slack_ms=16.0,
+        drain_grace_ms=500.0,
+        cold_from=0.2,
+        cold_ms=10000.0,
+        fall_multiple=3.0,
+        fall_ms=1000.0,
         classes={
             "read": io.RequestClass("read", 1500.0, 4000.0, io.Repeat.SAFE),
             "hold": io.RequestClass("hold", 1500.0, 4000.0, io.Repeat.KEYED, "zone", 2000.0),
@@ -62,9 +74,17 @@
     def request(self, plan="free", kind="read", customer="c", units=1.0, patience=4000.0, spread=2):
         self.n += 1
         name = f"r{self.n}"
-        return name, self.put(io.RequestArrived(
-            request=name, customer=customer, plan=plan, kind=kind, deadline_ms=self.now + patience,
-            units=units, spread=spread))
+        return name, self.put(
+            io.RequestArrived(
+                request=name,
+                customer=customer,
+                plan=plan,
+                kind=kind,
+                deadline_ms=self.now + patience,
+                units=units,
+                spread=spread,
+            )
+        )
 
     def ended(self, send_or_request, attempt=0, outcome=io.Outcome.OK, final=None, took=50.0, backend=""):
         request = getattr(send_or_request, "request", send_or_request)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -13,12 +13,21 @@
 
 ROOT = Path(__file__).parent.parent
 INFO = {
-    "azs": ["z1"], "zone": "z1", "instances": 2, "me": 1, "resolutionMs": 4.0, "discovery": "push",
-    "classes": [{"name": "read", "idempotency": "safe", "promiseMs": 900.0, "giveUpMs": 3000.0},
-                {"name": "odd", "idempotency": "sometimes"}],
+    "azs": ["z1"],
+    "zone": "z1",
+    "instances": 2,
+    "me": 1,
+    "resolutionMs": 4.0,
+    "discovery": "push",
+    "classes": [
+        {"name": "read", "idempotency": "safe", "promiseMs": 900.0, "giveUpMs": 3000.0},
+        {"name": "odd", "idempotency": "sometimes"},
+    ],
     "plans": [{"name": "p", "unitsPerS": 2.0, "depth": 6.0, "concurrency": 3}],
-    "familyInfo": {"counter": True, "countWaitMs": 40.0}, "policyLimits": {"tryLimit": 3},
-    "report": {"columns": ["busy_reqs"], "source": "inline"}, "never-heard-of": {"a": 1},
+    "familyInfo": {"counter": True, "countWaitMs": 40.0},
+    "policyLimits": {"tryLimit": 3},
+    "report": {"columns": ["busy_reqs"], "source": "inline"},
+    "never-heard-of": {"a": 1},
 }
 START = (
     "FRAME 1000.5 1\n"
@@ -28,11 +37,7 @@
     "ITEM 10.0.0.2:80 z1 box 0 draining 1.5 900.0\n"
     "COMMIT\n"
 )
-REQUEST = (
-    "FRAME 1004.5 2\n"
-    "REQUEST gateway-1 rq_a 0 1 0 read 4004.5 2 p c-one\n"
-    "COMMIT\n"
-)
+REQUEST = "FRAME 1004.5 2\nREQUEST gateway-1 rq_a 0 1 0 read 4004.5 2 p c-one\nCOMMIT\n"
 
 
 def run(text):
@@ -69,23 +74,32 @@
     out = run(START + REQUEST + f"FRAME 1008.5 3\n{sums}COMMIT\n")
     forward = [line for line in out.splitlines() if line.startswith("FORWARD")]
     assert forward == ["FORWARD gateway-1 rq_a 4004.500 10.0.0.1:80"]
-    out = run(START + REQUEST + f"FRAME 1008.5 3\n{sums}COMMIT\nFRAME 1050.5 4\n"
-              "DONE gateway-1 rq_a 0 0 1 42.0 - - 10.0.0.1:80 busy_reqs:3\nCOMMIT\n")
+    out = run(
+        START + REQUEST + f"FRAME 1008.5 3\n{sums}COMMIT\nFRAME 1050.5 4\n"
+        "DONE gateway-1 rq_a 0 0 1 42.0 - - 10.0.0.1:80 busy_reqs:3\nCOMMIT\n"
+    )
     assert "BAIL_OUT" not in out and out.endswith("END 4\n")
 
 
 EVENTS = [
-    ("DONE", "gateway-1 rq_a 13 2 0 18.5 86 3 b:1 busy_reqs:7,cpu_share:0.5",
-     io.AttemptEnded("rq_a", 2, "b:1", io.Outcome.ERROR, False, 18.5, 85, 3.0,
-                     {"busy_reqs": 7.0, "cpu_share": 0.5})),
+    (
+        "DONE",
+        "gateway-1 rq_a 13 2 0 18.5 86 3 b:1 busy_reqs:7,cpu_share:0.5",
+        io.AttemptEnded(
+            "rq_a", 2, "b:1", io.Outcome.ERROR, False, 18.5, 85, 3.0, {"busy_reqs": 7.0, "cpu_share": 0.5}
+        ),
+    ),
     ("SUM", "gateway-1 n 4 - 50", io.CountResult("n", io.Outcome.TIMEOUT, 0.0, 50.0)),
     ("ALARM", "gateway-1 sweep", io.TimerFired("sweep")),
     ("CLIENT_LEFT", "gateway-1 rq_a", io.ClientLeft("rq_a")),
     ("FIRST", "gateway-1 rq_a 5.5 b:1 1", io.StreamStarted("rq_a", 1, "b:1", 5.5)),
     ("STATUS_BACK", "gateway-1 b:1 0 3 -", io.ProbeResult("b:1", io.Outcome.OK, 3.0, None)),
     ("NEIGHBOUR_SAYS", "gateway-1 2 aGkgNw==", io.PeerMessage(2, b"hi 7")),
-    ("REQUEST", "gateway-1 rq_a 1 2 6 read 99.5 3 p c",
-     io.RequestArrived("rq_a", "c", "p", "read", 99.5, 2.0, 1, 3, True, True)),
+    (
+        "REQUEST",
+        "gateway-1 rq_a 1 2 6 read 99.5 3 p c",
+        io.RequestArrived("rq_a", "c", "p", "read", 99.5, 2.0, 1, 3, True, True),
+    ),
 ]
 
 
@@ -123,17 +137,20 @@
     assert out.endswith("END 2\n") and "BAIL_OUT" not in out
 
 
-@pytest.mark.parametrize("bad,line", [
-    ("hello\n", 7),
-    ("FRAME x 2\n", 7),
-    ("FRAME 1004.5 2\nREQUEST gateway-1 rq_a\nCOMMIT\n", 8),
-    ("FRAME 1004.5 2\nDONE gateway-1 rq_a 77 0 1 1 - - b -\nCOMMIT\n", 8),
-    ("FRAME 1004.5 2\nALARM gateway-9 t\nCOMMIT\n", 8),
-    ("FRAME 1004.5 2\nROSTER_CHANGE gateway-1 Partial 8 1\nCOMMIT\n", 9),
-    ("FRAME 1004.5 2\nSPAWN gateway-2 1 {nonsense\nCOMMIT\n", 8),
-    ("FRAME 1004.5 2\nALARM gateway-1", 8),
-    ("FRAME 1004.5 2\n", 8),
-])
+@pytest.mark.parametrize(
+    "bad,line",
+    [
+        ("hello\n", 7),
+        ("FRAME x 2\n", 7),
+        ("FRAME 1004.5 2\nREQUEST gateway-1 rq_a\nCOMMIT\n", 8),
+        ("FRAME 1004.5 2\nDONE gateway-1 rq_a 77 0 1 1 - - b -\nCOMMIT\n", 8),
+        ("FRAME 1004.5 2\nALARM gateway-9 t\nCOMMIT\n", 8),
+        ("FRAME 1004.5 2\nROSTER_CHANGE gateway-1 Partial 8 1\nCOMMIT\n", 9),
+        ("FRAME 1004.5 2\nSPAWN gateway-2 1 {nonsense\nCOMMIT\n", 8),
+        ("FRAME 1004.5 2\nALARM gateway-1", 8),
+        ("FRAME 1004.5 2\n", 8),
+    ],
+)
 def test_a_malformed_line_ends_the_adapter_with_one_plain_message(bad, line):
     done = command(START + bad)
     assert done.returncode != 0
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -24,7 +24,8 @@
     "reset before the answer": broken(),
     "reset inside the answer": broken(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nbeds"),
     "reset inside a chunked answer": broken(
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbeds\r\n"),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbeds\r\n"
+    ),
 }
 NO_REST = "backends.REST_S = 0.0"
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\nbeds"
@@ -32,11 +33,13 @@
 
 def says(data, again=b"", times=0):
     """Answers with these bytes, and keeps the connection open."""
+
     async def reply(seen, writer):
         writer.write(data)
         for _ in range(times):
             writer.write(again)
             await writer.drain()
+
     return reply
 
 
@@ -59,7 +62,8 @@
     "no length and an end": broken(b"HTTP/1.1 200 OK\r\n\r\nbeds"),
     "a chunk that is none": says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbeds\r\n"),
     "chunks without end": says(
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%b\r\n" % (b"x" * 1024), 1000),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%b\r\n" % (b"x" * 1024), 1000
+    ),
     "too large": ok(b"x" * 70000),
 }
 
@@ -79,6 +83,7 @@
                 assert (await client.answer()).status == 200
             assert [s.headers["x-request-id"] for s in backend.seen] == [named(f"r{i}") for i in range(3)]
             assert backend.connections == 1
+
     run(scene)
 
 
@@ -90,6 +95,7 @@
         async with World({"b1": first, "b2": second}) as w:
             assert await serves(w, kind="pay") == 503  # both turned it away: a new try does no harm
             assert len(first.seen) == len(second.seen) == 1
+
     run(scene)
 
 
@@ -100,6 +106,7 @@
         async with World(fleet) as w:
             assert await serves(w, kind="pay") == 502
             assert sum(len(b.seen) for b in fleet.values()) == 1
+
     run(scene)
 
 
@@ -114,6 +121,7 @@
         assert sender.outcomes() == [io.Outcome.SPOILT]
         await until(lambda: not sender.backends._pools["b0"].all)
         backend.server.close()
+
     run(scene)
 
 
@@ -127,6 +135,7 @@
         assert sender.outcomes() == [io.Outcome.SPOILT]
         assert len(sender.backends._pools["b0"].free) == 1
         backend.server.close()
+
     run(scene)
 
 
@@ -138,6 +147,7 @@
             backend.reply = ok()
             assert await serves(w, kind="pay", name="r2") == 200
             assert len(backend.seen) == backend.connections == 2
+
     run(scene)
 
 
@@ -157,6 +167,7 @@
         await until(lambda: len(sender.ended) == 3)
         assert backend.connections == 2
         backend.server.close()
+
     run(scene)
 
 
@@ -172,6 +183,7 @@
             for backend in fleet.values():
                 backend.server.close()
             assert await serves(w, kind="pay") == 503
+
     run(scene)
 
 
@@ -181,6 +193,7 @@
             changes = {"policyLimits": {"connectTimeoutMs": 200.0}}
             async with World(ports={"b1": port}, changes=changes) as w:
                 assert await serves(w, kind="pay") == 503
+
     run(scene)
 
 
@@ -193,6 +206,7 @@
                 assert await serves(w, kind="pay") == 200
                 backend.writers[-1].transport.abort()
             assert len(backend.seen) == 3
+
     run(scene)
 
 
@@ -214,6 +228,7 @@
             assert not second.over and second.connection is None  # it waits for a connection of its own
             second.drop(io.Outcome.CANCELLED)
             assert sender.outcomes() == [io.Outcome.OK, io.Outcome.CANCELLED]
+
     run(scene)
 
 
@@ -228,14 +243,20 @@
             for _ in range(3):
                 assert (await w.call(request())).body == b"mine"
             assert backend.connections == 3
+
     run(scene)
 
 
-@pytest.mark.parametrize("head,lasts", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbeds", False),
-    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbeds", True),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbe\r\n2\r\nds\r\n0\r\n\r\n", True),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbedsx", False)], ids=["close", "100", "chunked", "more"])
+@pytest.mark.parametrize(
+    "head,lasts",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbeds", False),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbeds", True),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbe\r\n2\r\nds\r\n0\r\n\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbedsx", False),
+    ],
+    ids=["close", "100", "chunked", "more"],
+)
 def test_answers_of_every_framing_are_read_whole(head, lasts):
     async def scene():
         async def in_pieces(seen, writer):
@@ -250,6 +271,7 @@
                 answer = await w.call(request())
                 assert (answer.status, answer.body) == (200, b"beds")
             assert backend.connections == (1 if lasts else 2)
+
     run(scene)
 
 
@@ -262,6 +284,7 @@
             await until(lambda: backend.ended == 1)  # closed by the gateway: this backend never does
             assert await serves(w) == 200
             assert backend.connections == 2
+
     run(scene)
 
 
@@ -279,6 +302,7 @@
         assert sender.outcomes() == [io.Outcome.OK] * 2 and backend.connections == 2
         await until(lambda: backend.ended == 1)
         backend.server.close()
+
     run(scene)
 
 
@@ -290,6 +314,7 @@
             assert await serves(w, kind="pay", X_Timeout="0.3") == 502
             assert time.monotonic() - began > 0.2
             await until(lambda: backend.readers[0].at_eof() or backend.readers[0].exception())
+
     run(scene)
 
 
@@ -331,6 +356,7 @@
         assert sender.outcomes() == [io.Outcome.CANCELLED, io.Outcome.OK]
         assert len(backend.seen) == 1 and backend.connections == 1
         backend.server.close()
+
     run(scene)
 
 
@@ -344,6 +370,7 @@
         await until(lambda: backend.ended == 1)
         assert not backend.seen
         backend.server.close()
+
     run(scene)
 
 
@@ -365,6 +392,7 @@
             accepted.close()
             await until(lambda: exchange.over)
             assert sender.outcomes() == [outcome]
+
     run(scene)
 
 
@@ -387,6 +415,7 @@
                     await loop.sock_sendall(accepted, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 await until(lambda: exchange.over)
             assert sender.outcomes() == [io.Outcome.OK if whole else io.Outcome.MOOT]
+
     run(scene)
 
 
@@ -406,6 +435,7 @@
                 await until(lambda: exchange.connection)
                 exchange.late()
             assert sender.outcomes() == [io.Outcome.TIMEOUT if whole else io.Outcome.CONNECT_FAILED]
+
     run(scene)
 
 
@@ -417,11 +447,13 @@
         await until(lambda: exchange.over)
         assert sender.outcomes() == [io.Outcome.OK] and len(backend.seen[0].body) == 16_000_000
         backend.server.close()
+
     run(scene)
 
 
-@pytest.mark.parametrize("reply,outcome", [
-    (ok(b"qps=3,queue=x,latency_ms=4.5"), io.Outcome.OK), (status(503), io.Outcome.ERROR)])
+@pytest.mark.parametrize(
+    "reply,outcome", [(ok(b"qps=3,queue=x,latency_ms=4.5"), io.Outcome.OK), (status(503), io.Outcome.ERROR)]
+)
 def test_a_probe_tells_the_report_of_a_backend(reply, outcome):
     async def scene():
         backend, ended = await Backend(reply).start(), []
@@ -433,6 +465,7 @@
         sender.backends.close_idle("b0")
         await until(lambda: backend.ended == 1)
         backend.server.close()
+
     run(scene)
 
 
@@ -448,9 +481,10 @@
         assert sender.outcomes() == [io.Outcome.CONNECT_FAILED] * (6 - served)
         hold.release.set()
         await until(lambda: len(sender.ended) == 6)
-        assert sender.outcomes()[6 - served:] == [io.Outcome.OK] * served
+        assert sender.outcomes()[6 - served :] == [io.Outcome.OK] * served
         for backend in listed:
             backend.server.close()
+
     run(scene)
 
 
@@ -464,6 +498,7 @@
         assert sender.outcomes() == [io.Outcome.OK] * 3
         for backend in listed:
             backend.server.close()
+
     run(scene)
 
 
@@ -485,6 +520,7 @@
         await until(lambda: backend.ended == backend.connections)
         await until(lambda: not sender.backends.held and not sender.backends.idle)
         backend.server.close()
+
     run(scene)
 
 
@@ -503,6 +539,7 @@
             assert sender.outcomes() == [io.Outcome.CANCELLED, io.Outcome.OK]
         backend.server.close()
         silent.server.close()
+
     run(scene)
 
 
@@ -515,7 +552,8 @@
             running = asyncio.create_task(w.call(request("pay")))
             await hold.reached.wait()
             w.discovery.tell(
-                w.discovery.entry("b1", first.port, "Terminating"), w.discovery.entry("b2", second.port))
+                w.discovery.entry("b1", first.port, "Terminating"), w.discovery.entry("b2", second.port)
+            )
             async with asyncio.timeout(30):
                 while (await w.call(request(X_Timeout="1.0"))).body != b"new":
                     pass
@@ -526,6 +564,7 @@
             hold.release.set()
             assert (await running).body == b"old"
             second.server.close()
+
     run(scene)
 
 
@@ -541,6 +580,7 @@
             await until(lambda: old.ended == 1)
             assert (await w.call(request())).body == (b"new" if moved else b"old")
             new.server.close()
+
     run(scene)
 
 
@@ -563,6 +603,7 @@
         assert sender.outcomes()[2] is io.Outcome.OK
         for backend in fleet:
             backend.server.close()
+
     run(scene)
 
 
@@ -579,10 +620,15 @@
             await until(lambda: exchange.over)
             return sender.backends._pools["b0"]
 
-        pools = [await pool(first.port), await pool(first.port), await pool(first.port, 5.0),
-                 await pool(second.port, 5.0)]
+        pools = [
+            await pool(first.port),
+            await pool(first.port),
+            await pool(first.port, 5.0),
+            await pool(second.port, 5.0),
+        ]
         assert pools[0] is pools[1] and len(set(pools)) == 3 and set(pools[1:3]) <= sender.backends._parting
         assert (len(first.seen), len(second.seen)) == (3, 1)
         first.server.close()
         second.server.close()
+
     run(scene)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -7,9 +7,15 @@
 from elderhub import checks
 
 SETTINGS = io.Settings(
-    me=1, gateways=4, most_units=2.0, plans={"p": io.Plan("p")},
-    classes={"read": io.RequestClass("read", deadline_ms=7000.0, repeat=io.Repeat.SAFE),
-             "hold": io.RequestClass("hold", deadline_ms=7000.0, repeat=io.Repeat.KEYED)})
+    me=1,
+    gateways=4,
+    most_units=2.0,
+    plans={"p": io.Plan("p")},
+    classes={
+        "read": io.RequestClass("read", deadline_ms=7000.0, repeat=io.Repeat.SAFE),
+        "hold": io.RequestClass("hold", deadline_ms=7000.0, repeat=io.Repeat.KEYED),
+    },
+)
 
 
 TARGET = f"/api/{CUSTOMER}?q=1".encode()
@@ -18,8 +24,14 @@
 def message(method=b"GET", target=TARGET, body=b"", **headers):
     out = checks.Message()
     out.method, out.target, out.body, out.came = method, target, body, 5000.0
-    fields = {"host": b"h", "x-request-id": b"9b1f03aa5c7e2d41", "x-priority-class": b"read", "plan": b"p",
-              "x-timeout": b"0.480", "quota-info": b"units=2,spread=3,first=1"}
+    fields = {
+        "host": b"h",
+        "x-request-id": b"9b1f03aa5c7e2d41",
+        "x-priority-class": b"read",
+        "plan": b"p",
+        "x-timeout": b"0.480",
+        "quota-info": b"units=2,spread=3,first=1",
+    }
     fields.update({name.replace("_", "-"): value for name, value in headers.items()})
     out.headers = {name.encode(): value for name, value in fields.items() if value is not None}
     return out
@@ -27,40 +39,71 @@
 
 def test_a_deadline_counts_from_when_the_request_came_not_from_its_turn():
     assert checks.arrived(message(x_retried=b"1"), SETTINGS) == io.RequestArrived(
-        "", CUSTOMER, "p", "read", 5480.0, 2.0, 1, 3, is_retry=True)
+        "", CUSTOMER, "p", "read", 5480.0, 2.0, 1, 3, is_retry=True
+    )
 
 
-@pytest.mark.parametrize("good", [
-    dict(target=f"/{CUSTOMER.upper()}".encode()), dict(x_timeout=b"7"), dict(x_timeout=b"0.001"),
-    dict(quota_info=b"first=3, spread=3, units=0.5"), dict(quota_info=b"units=1,spread=4,first=2"),
-    dict(method=b"POST", x_priority_class=b"hold", idempotency_key=b"k", body=b"two nights")])
+@pytest.mark.parametrize(
+    "good",
+    [
+        dict(target=f"/{CUSTOMER.upper()}".encode()),
+        dict(x_timeout=b"7"),
+        dict(x_timeout=b"0.001"),
+        dict(quota_info=b"first=3, spread=3, units=0.5"),
+        dict(quota_info=b"units=1,spread=4,first=2"),
+        dict(method=b"POST", x_priority_class=b"hold", idempotency_key=b"k", body=b"two nights"),
+    ],
+)
 def test_what_usual_clients_send_is_taken(good):
     assert checks.arrived(message(**good), SETTINGS).customer == CUSTOMER
 
 
 BAD = [
-    (dict(method=b"HEAD"), 405), (dict(method=b"POST"), 405),
+    (dict(method=b"HEAD"), 405),
+    (dict(method=b"POST"), 405),
     (dict(x_priority_class=b"hold", idempotency_key=b"k"), 405),
-    (dict(method=b"POST", x_priority_class=b"hold"), 400), (dict(body=b"x"), 400),
+    (dict(method=b"POST", x_priority_class=b"hold"), 400),
+    (dict(body=b"x"), 400),
     (dict(method=b"POST", x_priority_class=b"hold", idempotency_key=b"two words"), 400),
-    (dict(target=b"/api/somebody"), 404), (dict(target=b"/api/" + b"f" * 16), 404),
-    (dict(target=b"/api/0_000000b4d65521"), 404), (dict(target=CUSTOMER.encode()), 404),
-    (dict(target=b"/api/"), 404), (dict(target=f"/api/{CUSTOMER}/x".encode()), 404),
-    *[({name: None}, 400) for name in (
-        "host", "x_request_id", "x_priority_class", "plan", "x_timeout", "quota_info")],
+    (dict(target=b"/api/somebody"), 404),
+    (dict(target=b"/api/" + b"f" * 16), 404),
+    (dict(target=b"/api/0_000000b4d65521"), 404),
+    (dict(target=CUSTOMER.encode()), 404),
+    (dict(target=b"/api/"), 404),
+    (dict(target=f"/api/{CUSTOMER}/x".encode()), 404),
+    *[
+        ({name: None}, 400)
+        for name in ("host", "x_request_id", "x_priority_class", "plan", "x_timeout", "quota_info")
+    ],
     *[(dict(x_request_id=x), 400) for x in (b"", b"r1", b"G" * 16, b"a" * 17, b"A" * 16)],
-    (dict(x_priority_class=b"reads"), 400), (dict(x_priority_class=b"\xff"), 400),
-    (dict(plan=b"q"), 400), (dict(plan=b""), 400), (dict(x_retried=b"yes"), 400),
-    *[(dict(x_timeout=x), 400) for x in (
-        b"soon", b"", b"nan", b"inf", b"-1", b"0", b"1_0", b"1e1", b"7.1", b"1" + b"0" * 22, b" 1")],
-    *[(dict(quota_info=b"units=%b,spread=3,first=1" % x), 400) for x in (
-        b"", b"x", b"nan", b"inf", b"-1", b"0", b"2.1", b"1_0", b"1e0", b"9" * 400)],
-    *[(dict(quota_info=b"units=1,spread=%b,first=1" % x), 400) for x in (
-        b"", b"0", b"5", b"-1", b"2.0", b"x", b"9" * 400)],
+    (dict(x_priority_class=b"reads"), 400),
+    (dict(x_priority_class=b"\xff"), 400),
+    (dict(plan=b"q"), 400),
+    (dict(plan=b""), 400),
+    (dict(x_retried=b"yes"), 400),
+    *[
+        (dict(x_timeout=x), 400)
+        for x in (b"soon", b"", b"nan", b"inf", b"-1", b"0", b"1_0", b"1e1", b"7.1", b"1" + b"0" * 22, b" 1")
+    ],
+    *[
+        (dict(quota_info=b"units=%b,spread=3,first=1" % x), 400)
+        for x in (b"", b"x", b"nan", b"inf", b"-1", b"0", b"2.1", b"1_0", b"1e0", b"9" * 400)
+    ],
+    *[
+        (dict(quota_info=b"units=1,spread=%b,first=1" % x), 400)
+        for x in (b"", b"0", b"5", b"-1", b"2.0", b"x", b"9" * 400)
+    ],
     *[(dict(quota_info=b"units=1,spread=2,first=%b" % x), 400) for x in (b"", b"4", b"-1", b"1.0", b"2")],
-    *[(dict(quota_info=x), 400) for x in (
-        b"", b"units=1", b"units=1,spread=2", b"units=1,units=1,spread=2,first=1",
-        b"units=1,spread=2,first=1,more=1")],
+    *[
+        (dict(quota_info=x), 400)
+        for x in (
+            b"",
+            b"units=1",
+            b"units=1,spread=2",
+            b"units=1,units=1,spread=2,first=1",
+            b"units=1,spread=2,first=1,more=1",
+        )
+    ],
 ]
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -20,6 +20,7 @@
             assert (seen.method, seen.target, seen.body) == ("POST", f"/api/{CUSTOMER}?q=1", b"two nights")
             assert seen.headers["x-request-id"] == named("id-1") and seen.headers["idempotency-key"] == "k1"
             assert seen.headers["accept-language"] == "no" and 0 < float(seen.headers["x-timeout"]) <= 8.0
+
     run(scene)
 
 
@@ -29,6 +30,7 @@
             answers = [await w.call(request(plan="basic")) for _ in range(3)]
             assert [a.status for a in answers] == [200, 200, 429]
             assert float(answers[2].headers["retry-after"]) > 0
+
     run(scene)
 
 
@@ -43,10 +45,14 @@
     "a large body": (request("hold", body=b"x" * 70000), 413),
     "a body of chunks that is too large": (
         request("hold", Content_Length=None, Transfer_Encoding="chunked")
-        + b"400\r\n%b\r\n" % (b"x" * 1024) * 65, 413),
+        + b"400\r\n%b\r\n" % (b"x" * 1024) * 65,
+        413,
+    ),
     "a line that is no header": (request().replace(b"Plan:", b"plan\r\nPlan:"), 400),
     "a chunk that is none": (
-        request("hold", Content_Length=None, Transfer_Encoding="chunked") + b"zz\r\nx\r\n", 400),
+        request("hold", Content_Length=None, Transfer_Encoding="chunked") + b"zz\r\nx\r\n",
+        400,
+    ),
     # Either could hide a request in the body of another.
     "two framings": (request("hold", Transfer_Encoding="chunked") + b"0\r\n\r\n" + request(), 400),
     "two lengths": (request("hold").replace(b"Plan:", b"Content-Length: 4\r\nPlan:"), 400),
@@ -67,6 +73,7 @@
             assert not backend.seen
             assert (await w.call(request())).status == 200  # and the gateway serves on
             assert "Traceback" not in w.log.read_text()
+
     run(scene)
 
 
@@ -77,6 +84,7 @@
                 quota = f"{part},first=0"
                 assert (await w.call(request(plan="basic", Quota_Info=quota))).status == 400
             assert [(await w.call(request(plan="basic"))).status for _ in range(3)] == [200, 200, 429]
+
     run(scene)
 
 
@@ -89,6 +97,7 @@
             assert (await client.answer()).status == 413
             await client.writer.drain()
             assert await client.ended()
+
     run(scene)
 
 
@@ -101,6 +110,7 @@
             assert (await w.call(data)).status == 200
             assert backend.seen[0].body == b"two nights"
             assert backend.seen[0].headers["plan"] == "free" and "x-late" not in backend.seen[0].headers
+
     run(scene)
 
 
@@ -114,6 +124,7 @@
             assert (answer.status, answer.headers["connection"]) == (200, "close")
             assert await client.ended()
             assert "upgrade" not in backend.seen[0].headers
+
     run(scene)
 
 
@@ -126,9 +137,11 @@
             client = await w.connect()
             client.send(b"".join(request(name=f"r{i}") for i in range(4)) + b"nonsense\r\n\r\n")
             assert [(await client.answer()).body for _ in range(4)] == [
-                named(f"r{i}").encode() for i in range(4)]
+                named(f"r{i}").encode() for i in range(4)
+            ]
             assert (await client.answer()).status == 400  # after the answers before it
             assert await client.ended()
+
     run(scene)
 
 
@@ -141,14 +154,17 @@
                 await client.writer.drain()
                 await asyncio.sleep(0)
             assert (await client.answer()).status == 200
+
     run(scene)
 
 
 SHORT = "clients.BOUND_S = 0.3"
 
 
-@pytest.mark.parametrize("part", [
-    request()[:-10], request("hold", Content_Length="100"), b"G", request("hold", body=b"two nights")[:-1]])
+@pytest.mark.parametrize(
+    "part",
+    [request()[:-10], request("hold", Content_Length="100"), b"G", request("hold", body=b"two nights")[:-1]],
+)
 def test_a_half_sent_request_times_out(part):
     async def scene():
         async with World({"b1": Backend()}, patch=SHORT) as w:
@@ -156,6 +172,7 @@
             client.send(part)
             assert (await client.answer()).status == 408
             assert await client.ended()
+
     run(scene)
 
 
@@ -170,6 +187,7 @@
             assert await later.ended()
             usual.send(request())
             assert (await usual.answer()).status == 200
+
     run(scene)
 
 
@@ -185,6 +203,7 @@
                     codes.append((await client.answer()).status)
             assert codes == [200] * (len(codes) - 1) + [429] and len(backend.seen) == len(codes) - 1
             assert 1 < len(codes) <= 2 * clients.QUEUE_MOST
+
     run(scene)
 
 
@@ -201,6 +220,7 @@
             hold.release.set()
             assert (await w.call(request(name="r2"))).status == 200
             assert "Traceback" not in w.log.read_text()
+
     run(scene)
 
 
@@ -216,11 +236,14 @@
             assert (await first).status == 200
             assert (await w.call(request(name="r1"))).status == 200
             assert len(backend.seen) == 2
+
     run(scene)
 
 
-@pytest.mark.parametrize("version,header,lasts", [
-    (b"1.1", {}, True), (b"1.1", {"Connection": "close"}, False), (b"1.0", {}, False)])
+@pytest.mark.parametrize(
+    "version,header,lasts",
+    [(b"1.1", {}, True), (b"1.1", {"Connection": "close"}, False), (b"1.0", {}, False)],
+)
 def test_connections_last_as_the_client_asks(version, header, lasts):
     async def scene():
         async with World({"b1": Backend()}) as w:
@@ -229,6 +252,7 @@
             assert (await client.answer()).headers.get("connection") == (None if lasts else "close")
             if not lasts:
                 assert await client.ended()
+
     run(scene)
 
 
@@ -236,6 +260,7 @@
     async def scene():
         async with World({"b1": Backend(status(500))}) as w:
             assert (await w.call(request("pay"))).status == 502
+
     run(scene)
 
 
@@ -262,6 +287,7 @@
             assert (await usual[0].answer()).status == 200
             assert (await w.call(request())).status == 200
             await asyncio.gather(*ended, return_exceptions=True)
+
     run(scene)
 
 
@@ -289,6 +315,7 @@
             text = w.log.read_text()
             assert "no connection can be taken" in text
             assert int(text.partition("tries ")[2].split()[0]) < 1000  # a busy loop tries far more often
+
     run(scene)
 
 
@@ -313,6 +340,7 @@
             assert 20 <= ended < 40
             usual.send(request())
             assert "connection" not in (await usual.answer()).headers
+
     run(scene)
 
 
@@ -330,6 +358,7 @@
             assert await asyncio.gather(*gone) == [True] * 10
             stayed[-1].send(request())
             assert (await stayed[-1].answer()).status == 200
+
     run(scene)
 
 
@@ -340,6 +369,7 @@
             assert answer.status == 502  # it may have run, so it is no refusal
             answer = await w.call(request(X_Timeout="0.3"))
             assert answer.status == 503
+
     run(scene)
 
 
@@ -363,6 +393,7 @@
             assert (await w.call(request(name="next"))).status == 200
             assert [seen.headers["x-request-id"] for seen in backend.seen] == [named("r0"), named("next")]
             assert "Traceback" not in w.log.read_text()
+
     run(scene)
 
 
@@ -383,6 +414,7 @@
                 while True:
                     codes.append((await client.answer()).status)
             assert codes == [200] * len(backend.seen) + [429] and len(codes) < 12
+
     run(scene)
 
 
@@ -398,4 +430,5 @@
             await until(lambda: backend.readers[0].at_eof())
             hold.release.set()
             assert (await w.call(request(name="next"))).status == 200
+
     run(scene)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -11,8 +11,10 @@
 from cobaltline import interface as io
 from cobaltline.brain import Gateway
 
-CLASSES = {name: io.RequestClass(name, 6000.0, 8000.0, repeat, "zone", 4000.0) for name, repeat in (
-    ("read", io.Repeat.SAFE), ("hold", io.Repeat.KEYED), ("pay", io.Repeat.UNSAFE))}
+CLASSES = {
+    name: io.RequestClass(name, 6000.0, 8000.0, repeat, "zone", 4000.0)
+    for name, repeat in (("read", io.Repeat.SAFE), ("hold", io.Repeat.KEYED), ("pay", io.Repeat.UNSAFE))
+}
 
 
 class Fleet:
@@ -30,8 +32,9 @@
         self.got: dict[str, deque] = {}  # by cold backend: when requests came lately
         self.number: dict[str, int] = {}
         self.worst, self.cold_sent, self.sent, self.refused = 0.0, 0, 0, 0
-        self.gateways = [Gateway(settings(me=i, gateways=gateways, **changes), seed * 1000 + i)
-                         for i in range(gateways)]
+        self.gateways = [
+            Gateway(settings(me=i, gateways=gateways, **changes), seed * 1000 + i) for i in range(gateways)
+        ]
         self.join(warm, 0.0, "w")
 
     def join(self, count, started, name="c"):
@@ -69,8 +72,9 @@
         entry = self.entries.get(send.backend)
         if entry is None or send.backend in self.broken:
             outcome = io.Outcome.CONNECT_FAILED if entry is None or self.refuse else io.Outcome.ERROR
-            self.later(1.0, self.put, i, io.AttemptEnded(
-                send.request, number, send.backend, outcome, False, 2.0))
+            self.later(
+                1.0, self.put, i, io.AttemptEnded(send.request, number, send.backend, outcome, False, 2.0)
+            )
             return
         warmth = 1.0
         if entry.started_ms > 0:
@@ -81,8 +85,12 @@
         work = self.rng.uniform(0.6, 1.4) / self.capacity / warmth
         self.busy[send.backend] = max(self.now, self.busy[send.backend]) + work
         took = self.busy[send.backend] - self.now
-        self.later(took, self.put, i, io.AttemptEnded(
-            send.request, number, send.backend, io.Outcome.OK, True, took + 1.0))
+        self.later(
+            took,
+            self.put,
+            i,
+            io.AttemptEnded(send.request, number, send.backend, io.Outcome.OK, True, took + 1.0),
+        )
 
     def weigh(self, name, warmth):
         """How full the budget is: what came within the span by what may, its slack for chance included."""
@@ -108,16 +116,28 @@
         (i,) = self.rng.choices(range(len(self.gateways)), self.parts)
         self.n += 1
         kind = self.rng.choice(("read", "read", "hold", "pay"))
-        self.put(i, io.RequestArrived(
-            f"r{self.n}", f"c{self.n % 97}", "free", kind, self.now + 8000.0, spread=len(self.gateways)))
+        self.put(
+            i,
+            io.RequestArrived(
+                f"r{self.n}", f"c{self.n % 97}", "free", kind, self.now + 8000.0, spread=len(self.gateways)
+            ),
+        )
 
 
 def scene(kind, seed, gateways, rate, cold, warm, span_ms=1000.0, cold_from=0.1, multiple=2.0):
     """Backends join cold, and the warm ones fail or leave under a burst of half as much again. What fails is
     tried again, keyed requests in their zone alone."""
     fleet = Fleet(
-        gateways, rate, warm, seed=seed, zones=2 if kind == "a zone fails" else 1, cold_from=cold_from,
-        fall_multiple=multiple, fall_ms=span_ms, cold_ms=15000.0)
+        gateways,
+        rate,
+        warm,
+        seed=seed,
+        zones=2 if kind == "a zone fails" else 1,
+        cold_from=cold_from,
+        fall_multiple=multiple,
+        fall_ms=span_ms,
+        cold_ms=15000.0,
+    )
     names = [f"w{k}" for k in range(warm)]
     fleet.play(12)
     fleet.join(cold, fleet.now)
@@ -132,10 +152,12 @@
     return fleet
 
 
-@pytest.mark.parametrize("kind", [
-    "burst", "all fail at once", "all fail late", "all refuse", "all are gone", "a zone fails"])
-@pytest.mark.parametrize("gateways,rate,cold,warm", [
-    (30, 2.0, 2, 12), (30, 2.0, 5, 20), (30, 8.0, 10, 40), (5, 10.0, 3, 12)])
+@pytest.mark.parametrize(
+    "kind", ["burst", "all fail at once", "all fail late", "all refuse", "all are gone", "a zone fails"]
+)
+@pytest.mark.parametrize(
+    "gateways,rate,cold,warm", [(30, 2.0, 2, 12), (30, 2.0, 5, 20), (30, 8.0, 10, 40), (5, 10.0, 3, 12)]
+)
 def test_cold_backends_get_no_more_from_the_whole_fleet_than_they_can_bear(kind, gateways, rate, cold, warm):
     for seed in (1, 2):
         fleet = scene(kind, seed, gateways, rate, cold, warm)
@@ -143,8 +165,9 @@
         assert fleet.refused < 0.2 * fleet.n or kind != "burst"
 
 
-@pytest.mark.parametrize("span_ms,cold_from,multiple", [
-    (3000.0, 0.1, 2.0), (2000.0, 0.3, 3.0), (3000.0, 0.49, 2.0)])
+@pytest.mark.parametrize(
+    "span_ms,cold_from,multiple", [(3000.0, 0.1, 2.0), (2000.0, 0.3, 3.0), (3000.0, 0.49, 2.0)]
+)
 def test_cold_backends_hold_whatever_their_settings_when_all_others_refuse(span_ms, cold_from, multiple):
     fleet = scene("all refuse", 1, 30, 8.0, 10, 40, span_ms, cold_from, multiple)
     assert fleet.worst <= 1.0 and fleet.cold_sent > 100
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -33,12 +33,20 @@
     assert checked(tmp_path, told(listen=None), NODE_LISTEN="127.0.0.1:1")[1].exit_code == 0
 
 
-@pytest.mark.parametrize("what, field", [
-    (told(listen="7070"), "listen: "), (told(limits={"sockets": 8}), "limits.sockets: "),
-    (told(known={"instances": 3}), "known.instances: "), (told(peers=["127.0.0.1:1", "x"]), "peers[1]: "),
-    (told(settings=settings(plans=[{"name": "a", "depth": "6"}])), "settings.plans[0].depth: "),
-    (told(settings=settings(classes=[{"name": "a", "promiseMs": []}])), "settings.classes[0].promiseMs: "),
-])
+@pytest.mark.parametrize(
+    "what, field",
+    [
+        (told(listen="7070"), "listen: "),
+        (told(limits={"sockets": 8}), "limits.sockets: "),
+        (told(known={"instances": 3}), "known.instances: "),
+        (told(peers=["127.0.0.1:1", "x"]), "peers[1]: "),
+        (told(settings=settings(plans=[{"name": "a", "depth": "6"}])), "settings.plans[0].depth: "),
+        (
+            told(settings=settings(classes=[{"name": "a", "promiseMs": []}])),
+            "settings.classes[0].promiseMs: ",
+        ),
+    ],
+)
 def test_what_is_wrong_is_told_by_file_and_field(tmp_path, what, field):
     path, found = checked(tmp_path, what)
     assert found.exit_code == 2 and found.stderr.startswith(f"rosehitch: {path}: {field}")
@@ -50,8 +58,10 @@
 
     def command(self):
         line = ["serve", "--config", str(Path(self.dir.name) / "config.json")]
-        return ["-c", "import os; del os.environ['NODE_CONFIG']\nfrom rosehitch.__main__ import main\n"
-                      f"main({line!r})"]
+        return [
+            "-c",
+            f"import os; del os.environ['NODE_CONFIG']\nfrom rosehitch.__main__ import main\nmain({line!r})",
+        ]
 
 
 def test_serve_runs_a_gateway_until_it_is_told_to_end():
@@ -59,12 +69,15 @@
         async with Served({"b1": Backend()}) as w:
             assert (await w.call(request())).status == 200
             assert await w.stop() == 0
+
     run(scene)
 
 
 def test_the_gateway_imports_nothing_of_the_command_and_the_command_nothing_before_it_is_needed():
-    for module, foreign in (("elderhub.__main__", "click rich hdrh numpy scale rosehitch"),
-                            ("rosehitch.__main__", "rich hdrh numpy scale elderhub uvloop")):
+    for module, foreign in (
+        ("elderhub.__main__", "click rich hdrh numpy scale rosehitch"),
+        ("rosehitch.__main__", "rich hdrh numpy scale elderhub uvloop"),
+    ):
         code = f"import sys, {module}; print(set({foreign!r}.split()) & set(sys.modules))"
         done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=LIMIT_S, capture_output=True)
         assert done.stdout == b"set()\n", module
@@ -72,11 +85,18 @@
 
 def demo(tmp_path, *arguments, patch=""):
     """Its process, with a folder of its own for what it leaves behind."""
-    code = ("import functools, sys\nfrom rosehitch import demo\nfrom rosehitch.__main__ import main\n"
-            f"demo.Program = functools.partial(demo.Program, patch={patch!r})\n"
-            f"main({['demo', *arguments]!r})")
-    return subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, text=True, stdout=subprocess.PIPE,
-                            env=dict(os.environ, TMPDIR=str(tmp_path), PYTHONUNBUFFERED="1"))
+    code = (
+        "import functools, sys\nfrom rosehitch import demo\nfrom rosehitch.__main__ import main\n"
+        f"demo.Program = functools.partial(demo.Program, patch={patch!r})\n"
+        f"main({['demo', *arguments]!r})"
+    )
+    return subprocess.Popen(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        text=True,
+        stdout=subprocess.PIPE,
+        env=dict(os.environ, TMPDIR=str(tmp_path), PYTHONUNBUFFERED="1"),
+    )
 
 
 def test_a_short_demo_ends_with_its_last_line_and_leaves_nothing_behind(tmp_path):
@@ -89,9 +109,11 @@
 
 def test_a_broken_rule_is_told_and_ends_the_demo_with_another_code(tmp_path):
     """A gateway that makes up its answers."""
-    patch = ("from elderhub import checks, clients\n"
-             "def made_up(*_):\n    raise checks.Bad(200, 'made up')\n"
-             "checks.arrived = clients.arrived = made_up\n")
+    patch = (
+        "from elderhub import checks, clients\n"
+        "def made_up(*_):\n    raise checks.Bad(200, 'made up')\n"
+        "checks.arrived = clients.arrived = made_up\n"
+    )
     process = demo(tmp_path, "--seconds", "3", patch=patch)
     out, _ = process.communicate(timeout=LIMIT_S)
     assert process.returncode == 1
@@ -124,14 +146,21 @@
     assert "Fault(kind='leave', at_s=0.5, for_s=5.0, part=0.5, size=1.0)" in again
     play = command.play
     monkeypatch.setattr(
-        command, "play", lambda options: dataclasses.replace(play(options), broken={"a rule": 2}))
+        command, "play", lambda options: dataclasses.replace(play(options), broken={"a rule": 2})
+    )
     found = CliRunner().invoke(main, EMULATE)
     assert found.exit_code == 1 and "broken: a rule, 2 times" in found.stdout
 
 
-@pytest.mark.parametrize("fault, wrong", [
-    ("storm", "kind: 'storm'"), ("kill,when=3", "'when' is none of at_s"), ("kill,at_s=x", "at_s: 'x'"),
-    ("kill,part=2", "part: 2.0")])
+@pytest.mark.parametrize(
+    "fault, wrong",
+    [
+        ("storm", "kind: 'storm'"),
+        ("kill,when=3", "'when' is none of at_s"),
+        ("kill,at_s=x", "at_s: 'x'"),
+        ("kill,part=2", "part: 2.0"),
+    ],
+)
 def test_a_fault_that_cannot_be_played_is_told_by_name(fault, wrong):
     found = CliRunner().invoke(main, [*EMULATE, "--fault", fault])
     assert found.exit_code == 2 and wrong in found.stderr
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,11 +12,22 @@
 
 def told(**changes):
     return {
-        "name": "n0", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "counter": "127.0.0.1:6400",
-        "seed": "8c1f30d27a5be964", "limits": {"sockets": 900}, "peer_listen": "127.0.0.1:7946",
-        "peers": ["127.0.0.1:7946", "127.0.0.2:7946"], "peers_all": "127.3.255.1:7946",
-        "settings": settings(), "known": {"generation": 4, "instances": [
-            {"instanceId": "a", "hostPort": "127.0.0.9:80", "lifecycle": "Ready"}]}, **changes}
+        "name": "n0",
+        "listen": "127.0.0.1:7070",
+        "discovery": "127.0.0.1:8500",
+        "counter": "127.0.0.1:6400",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 900},
+        "peer_listen": "127.0.0.1:7946",
+        "peers": ["127.0.0.1:7946", "127.0.0.2:7946"],
+        "peers_all": "127.3.255.1:7946",
+        "settings": settings(),
+        "known": {
+            "generation": 4,
+            "instances": [{"instanceId": "a", "hostPort": "127.0.0.9:80", "lifecycle": "Ready"}],
+        },
+        **changes,
+    }
 
 
 def loaded(tmp_path, what, **environ):
@@ -49,20 +60,30 @@
 
 
 BROKEN = {  # what an error names, and a configuration that has it wrong
-    "Expecting property name": "{", "not an object": "[]", "listen: '7070'": told(listen="7070"),
-    "listen: 'a:b'": told(listen="a:b"), "discovery: None": told(discovery=None), "peers: ": told(peers=7),
-    "counter: none is named": told(counter=None), "peers[1]: 'x'": told(peers=["127.0.0.1:1", "x"]),
-    "settings: ": told(settings=[1]), "settings.classes: 7": told(settings={"classes": 7}),
+    "Expecting property name": "{",
+    "not an object": "[]",
+    "listen: '7070'": told(listen="7070"),
+    "listen: 'a:b'": told(listen="a:b"),
+    "discovery: None": told(discovery=None),
+    "peers: ": told(peers=7),
+    "counter: none is named": told(counter=None),
+    "peers[1]: 'x'": told(peers=["127.0.0.1:1", "x"]),
+    "settings: ": told(settings=[1]),
+    "settings.classes: 7": told(settings={"classes": 7}),
     "settings.classes[0].name: None": told(settings={"classes": [{"worth": 1}]}),
     "settings.classes[0].idempotency: ['safe']": told(
-        settings={"classes": [{"name": "a", "idempotency": ["safe"]}]}),
+        settings={"classes": [{"name": "a", "idempotency": ["safe"]}]}
+    ),
     "settings.plans[1].unitsPerS: 'two' is not a number": plan(unitsPerS="two"),
     "settings.plans[1].concurrency: inf is not a whole number": plan(concurrency=float("inf")),
     "settings.familyInfo.countWaitMs: '5'": told(settings=settings(familyInfo={"countWaitMs": "5"})),
     "settings.policyLimits.keepaliveMs: ": told(settings=settings(policyLimits={"keepaliveMs": "long"})),
-    "settings.report.columns: 5": told(settings=settings(report={"columns": 5})), "limits: 8": told(limits=8),
-    "limits.sockets: 8 are too few": told(limits={"sockets": 8}), "seed: ": told(seed="xyz"),
-    "known: [1]": told(known=[1]), "known.instances: ": told(known={"instances": 3}),
+    "settings.report.columns: 5": told(settings=settings(report={"columns": 5})),
+    "limits: 8": told(limits=8),
+    "limits.sockets: 8 are too few": told(limits={"sockets": 8}),
+    "seed: ": told(seed="xyz"),
+    "known: [1]": told(known=[1]),
+    "known.instances: ": told(known={"instances": 3}),
     "known.generation: ": told(known={"generation": "new"}),
 }
 
@@ -75,13 +96,20 @@
     assert "\n" not in str(found.value)
 
 
-@pytest.mark.parametrize("what", [None, "{", told(listen="192.0.2.1:7070")],
-                         ids=["none", "broken", "an address that is not here"])
+@pytest.mark.parametrize(
+    "what", [None, "{", told(listen="192.0.2.1:7070")], ids=["none", "broken", "an address that is not here"]
+)
 def test_a_broken_start_ends_with_one_line_and_a_code(tmp_path, what):
     path = tmp_path / "config.json"
     if what is not None:
         path.write_text(what if isinstance(what, str) else json.dumps(what))
-    done = subprocess.run([sys.executable, "-m", "elderhub"], cwd=ROOT, timeout=60, capture_output=True,
-                          env={"NODE_CONFIG": str(path)}, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "elderhub"],
+        cwd=ROOT,
+        timeout=60,
+        capture_output=True,
+        env={"NODE_CONFIG": str(path)},
+        text=True,
+    )
     assert done.returncode not in (0, -15) and done.stderr.count("\n") == 1
     assert done.stderr.startswith("elderhub: ")
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -44,17 +44,37 @@
         assert await caller.outcomes(5) == [io.Outcome.OK] * 5
         assert [(x.name, x.total) for x in caller.told] == [("a", 1), ("a", 2), ("b", 1), ("a", 3), ("b", 2)]
         assert counter.lines[0] == b"add a 1 4000\r\n" and counter.connections == 1
-    run(scene)
-
 
-SPOILT = [b"what", b"ok much", b"ok nan", b"ok inf", b"ok 1_0", b"ok 1e99", b"ok ", b"ok", b"ok 0x1", b"pong",
-          b"\xff", b"o" * 1000]
+    run(scene)
 
 
-@pytest.mark.parametrize("answer,outcome,total", [
-    (b"busy\r\n", io.Outcome.FULL, 0.0), (b"error\r\n", io.Outcome.ERROR, 0.0),
-    (b"ok 7.5\r\n", io.Outcome.OK, 7.5), (b"ok -3e-05\r\n", io.Outcome.OK, -3e-05),
-    *[(answer + b"\r\n", io.Outcome.OK, None) for answer in SPOILT], (b"o" * 1000, io.Outcome.OK, None)])
+SPOILT = [
+    b"what",
+    b"ok much",
+    b"ok nan",
+    b"ok inf",
+    b"ok 1_0",
+    b"ok 1e99",
+    b"ok ",
+    b"ok",
+    b"ok 0x1",
+    b"pong",
+    b"\xff",
+    b"o" * 1000,
+]
+
+
+@pytest.mark.parametrize(
+    "answer,outcome,total",
+    [
+        (b"busy\r\n", io.Outcome.FULL, 0.0),
+        (b"error\r\n", io.Outcome.ERROR, 0.0),
+        (b"ok 7.5\r\n", io.Outcome.OK, 7.5),
+        (b"ok -3e-05\r\n", io.Outcome.OK, -3e-05),
+        *[(answer + b"\r\n", io.Outcome.OK, None) for answer in SPOILT],
+        (b"o" * 1000, io.Outcome.OK, None),
+    ],
+)
 def test_each_answer_has_its_outcome(answer, outcome, total):
     async def scene():
         counter = await Counter().start()
@@ -68,6 +88,7 @@
         await caller.up()
         caller.call("b")
         assert await caller.outcomes(2) == [outcome, io.Outcome.OK]
+
     run(scene)
 
 
@@ -80,6 +101,7 @@
         caller.call("a", "b", "c")
         assert await caller.outcomes(3) == [io.Outcome.OK, io.Outcome.RESET, io.Outcome.RESET]
         assert [(x.name, x.total) for x in caller.told] == [("a", None), ("b", 0.0), ("c", 0.0)]
+
     run(scene)
 
 
@@ -100,6 +122,7 @@
         release.set()
         assert await caller.outcomes(3) == [io.Outcome.TIMEOUT, io.Outcome.OK, io.Outcome.OK]
         assert [x.name for x in caller.told] == ["slow", "a", "b"] and caller.told[1].total == 1.0
+
     run(scene)
 
 
@@ -122,6 +145,7 @@
         await caller.up()
         caller.call("c")
         assert (await caller.outcomes(3))[2] == io.Outcome.OK
+
     run(scene)
 
 
@@ -138,6 +162,7 @@
         await until(lambda: not caller.counter._links[0].up() or counter.connections == 2)
         caller.call("b")
         assert await caller.outcomes(2) == [io.Outcome.OK] * 2
+
     run(scene)
 
 
@@ -153,6 +178,7 @@
         await caller.up()
         caller.call("c")
         assert (await caller.outcomes(3))[2] == io.Outcome.OK
+
     run(scene)
 
 
@@ -167,6 +193,7 @@
         await caller.up()
         caller.call("a")
         assert await caller.outcomes() == [io.Outcome.OK]
+
     run(scene)
 
 
@@ -181,6 +208,7 @@
         caller.call("a")
         assert await caller.outcomes() == [io.Outcome.OK]
         assert counter.connections == 1
+
     run(scene)
 
 
@@ -196,6 +224,7 @@
         caller.call("a")
         assert await caller.outcomes() == [io.Outcome.TIMEOUT]
         await until(lambda: counter.connections == 2)
+
     run(scene)
 
 
@@ -218,6 +247,7 @@
         caller.call("a")
         assert await caller.outcomes() == [io.Outcome.OK]
         server.close()
+
     run(scene)
 
 
@@ -231,4 +261,5 @@
             answers = [await w.call(request(plan="basic", name=f"r{i}")) for i in range(4)]
             assert {a.status for a in answers} <= {200, 429, 503}
             assert (await w.call(request())).status == 200
+
     run(scene)
--- a/tests/test_crowded.py
+++ b/tests/test_crowded.py
@@ -22,8 +22,10 @@
         self.customers = customers  # how often each asks
         self.stores, self.n, self.units = {}, 0, {}
         self.inside = self.beyond = self.answered = self.missed = 0.0
-        self.gateways = [Gateway(settings(me=i, gateways=GATEWAYS, plans={"basic": self.plan}, **changes), i)
-                         for i in range(GATEWAYS)]
+        self.gateways = [
+            Gateway(settings(me=i, gateways=GATEWAYS, plans={"basic": self.plan}, **changes), i)
+            for i in range(GATEWAYS)
+        ]
         entries = tuple(io.Backend(f"b{k}", zone="z1") for k in range(40))
         for i in range(GATEWAYS):
             self.put(i, io.BackendsChanged(io.ListKind.REMEMBERED, 1, entries))
@@ -85,8 +87,12 @@
         units = self.rng.choice((1.0, 1.0, 1.0, 4.0))
         self.n += 1
         self.units[f"r{self.n}"] = (customer, units)
-        self.put(self.rng.randrange(GATEWAYS), io.RequestArrived(
-            f"r{self.n}", f"c{customer}", "basic", "read", self.now + 4000.0, units=units, spread=GATEWAYS))
+        self.put(
+            self.rng.randrange(GATEWAYS),
+            io.RequestArrived(
+                f"r{self.n}", f"c{customer}", "basic", "read", self.now + 4000.0, units=units, spread=GATEWAYS
+            ),
+        )
 
 
 def test_calls_are_spaced_so_that_most_are_answered_and_the_counter_is_kept_busy():
@@ -108,9 +114,14 @@
 
 
 def thin(**changes):
-    return Play(gateways=GATEWAYS, plans={
-        "basic": io.Plan("basic", rate=2.0, burst=16.0, overrun_cost=0.8),
-        "cheap": io.Plan("cheap", rate=2.0, burst=16.0)}, **changes)
+    return Play(
+        gateways=GATEWAYS,
+        plans={
+            "basic": io.Plan("basic", rate=2.0, burst=16.0, overrun_cost=0.8),
+            "cheap": io.Plan("cheap", rate=2.0, burst=16.0),
+        },
+        **changes,
+    )
 
 
 def test_a_large_request_gets_its_call_before_a_small_one():
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -21,8 +21,11 @@
     """The program as `run` starts it, from a folder of its own."""
 
     def command(self):
-        return ["-c", f"import os; os.chdir({str(self.where)!r}); "
-                      f"os.execv('/bin/sh', ['/bin/sh', '-c', {DEPLOY['run']!r}])"]
+        return [
+            "-c",
+            f"import os; os.chdir({str(self.where)!r}); "
+            f"os.execv('/bin/sh', ['/bin/sh', '-c', {DEPLOY['run']!r}])",
+        ]
 
 
 def test_what_the_deploy_file_names_builds_and_starts(tmp_path):
@@ -43,6 +46,7 @@
         async with world as w:
             assert (await w.call(request())).status == 200
             assert await w.stop() == 0
+
     run(scene)
 
     # A changed list of requirements is installed anew; an unchanged one is not.
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -107,4 +107,5 @@
                 assert [(await w.call(request())).status for _ in range(40)] == [200] * 40
             idlers.stop()
             assert len(b0.seen) == seen and b0.ended == b0.connections
+
     run(scene)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -20,16 +20,30 @@
     return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "lifecycle": lifecycle, **more}
 
 
-ODD = {"generation": 7, "reset": True, "instances": [
-    entry("a", zone="z", machineType="m", cell=3, weight=1.5, startedAtMs=99), {"instanceId": "b"},
-    entry("c", "none"), entry("d", lifecycle="Gone"), entry("e", lifecycle="Odd"), 7]}
+ODD = {
+    "generation": 7,
+    "reset": True,
+    "instances": [
+        entry("a", zone="z", machineType="m", cell=3, weight=1.5, startedAtMs=99),
+        {"instanceId": "b"},
+        entry("c", "none"),
+        entry("d", lifecycle="Gone"),
+        entry("e", lifecycle="Odd"),
+        7,
+    ],
+}
 
 
 def test_a_list_is_read_and_what_is_malformed_in_it_passed_over():
     found = watching.listing(ODD)
-    assert found.event == io.BackendsChanged(io.ListKind.REMEMBERED, 7, (
-        io.Backend("a", "z", "m", 3, io.BackendState.UP, 1.5, 99.0),
-        io.Backend("d", state=io.BackendState.REMOVED)))
+    assert found.event == io.BackendsChanged(
+        io.ListKind.REMEMBERED,
+        7,
+        (
+            io.Backend("a", "z", "m", 3, io.BackendState.UP, 1.5, 99.0),
+            io.Backend("d", state=io.BackendState.REMOVED),
+        ),
+    )
     assert found.addresses == {"a": ("127.0.0.1", 1)}
 
 
@@ -39,10 +53,17 @@
         told = heard(first, ODD)
         assert [found.event for found in told] == [
             io.BackendsChanged(io.ListKind.CHANGES, 6, (io.Backend("d"),)),
-            io.BackendsChanged(io.ListKind.CHANGES, 7, (
-                io.Backend("a", "z", "m", 3, io.BackendState.UP, 1.5, 99.0),
-                io.Backend("d", state=io.BackendState.REMOVED)))]
+            io.BackendsChanged(
+                io.ListKind.CHANGES,
+                7,
+                (
+                    io.Backend("a", "z", "m", 3, io.BackendState.UP, 1.5, 99.0),
+                    io.Backend("d", state=io.BackendState.REMOVED),
+                ),
+            ),
+        ]
         assert told[1].addresses["a"] == ("127.0.0.1", 1)
+
     run(scene)
 
 
@@ -82,6 +103,7 @@
         await until(lambda: len(agent.targets) == 2)
         assert agent.targets == ["/v1/servers?watch=1&after=40", "/v1/servers?watch=1&after=42"]
         watcher.watch.stop()
+
     run(scene)
 
 
@@ -95,6 +117,7 @@
         watcher = Watcher(agent)
         await until(lambda: len(agent.targets) >= 3)
         watcher.watch.stop()
+
     run(scene)
 
 
@@ -107,13 +130,19 @@
         await until(lambda: agent.sent_beats >= 5)  # one a second: far longer than the silence allowed
         assert len(agent.targets) == 1
         watcher.watch.stop()
+
     run(scene)
 
 
-@pytest.mark.parametrize("answer", [
-    b"HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnonsense\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n7\n"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnonsense\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n7\n",
+    ],
+)
 def test_a_watch_survives_what_it_cannot_read(answer):
     async def scene():
         tries = []
@@ -131,6 +160,7 @@
         assert not watcher._task.done()
         watcher.stop()
         server.close()
+
     run(scene)
 
 
@@ -143,6 +173,7 @@
         world.known = {"generation": 3, "instances": [world.discovery.entry("b1", backend.port)]}
         async with world as w:
             assert (await w.call(request())).status == 200
+
     run(scene)
 
 
@@ -156,6 +187,7 @@
             await until(lambda: old.ended == 1)
             assert [(await w.call(request())).body for _ in range(4)] == [b"new"] * 4
             new.server.close()
+
     run(scene)
 
 
@@ -173,6 +205,7 @@
             while await w.health() != 200:
                 await asyncio.sleep(0.02)
             assert (await w.call(request())).status == 200
+
     run(scene)
 
 
@@ -190,6 +223,7 @@
         for pauses, most in zip(zip(*fleet, strict=True), (2.5, 4.5, 4.5, 4.5, 4.5), strict=True):
             tenths = [int(10 * pause / most) for pause in pauses]
             assert max(pauses) <= most and max(tenths.count(i) for i in range(10)) < 100
+
     run(scene)
 
 
@@ -200,12 +234,14 @@
             most = watching.NEXT_S - silent_s
             tenths = [int(10 * discovery._pause(False, silent_s) / most) for discovery in fleet]
             assert max(tenths) < 10 and max(tenths.count(i) for i in range(10)) < 100
+
     run(scene)
 
 
 def test_an_agent_of_its_own_is_asked_again_soon():
     async def scene():
         assert paused() == [0.1, 0.1, 0.1, 0.1, 0.1]
+
     run(scene)
 
 
@@ -246,7 +282,8 @@
 
     async def scene(loop):
         discovery = watching.Discovery(
-            ("agent", 1), 0, lambda found: told.append((loop.now, found.event.version)), ask_every_s)
+            ("agent", 1), 0, lambda found: told.append((loop.now, found.event.version)), ask_every_s
+        )
         play(loop, agent)
         discovery.start()
         await asyncio.sleep(40.0)
@@ -280,6 +317,7 @@
 def out_of_reach(how, since, until_s):
     """A scene in which discovery can't be reached for a while, and learns of a change at its end. Calls from
     before the end are lost for good."""
+
     def play(loop, agent):
         def down():
             if how == "falls silent":
@@ -311,6 +349,7 @@
         loop.call_soon(beat)
         loop.call_at(since, down)
         loop.call_at(until_s, up)
+
     return play
 
 
@@ -319,9 +358,11 @@
 
 @pytest.mark.parametrize("ask_every_s", [0.0, 10.0, 60.0])
 @pytest.mark.parametrize(
-    "how", ["falls silent", "fails at once", "ends unheard", "refused", "never comes up"])
+    "how", ["falls silent", "fails at once", "ends unheard", "refused", "never comes up"]
+)
 def test_a_change_is_heard_before_it_counts_as_told_whatever_became_of_the_last_call(
-        how, ask_every_s, monkeypatch):
+    how, ask_every_s, monkeypatch
+):
     monkeypatch.setattr(watching.random, "random", lambda: 0.999)  # the longest pauses
     for k in range(40):
         back = 5.2 + 0.37 * k
@@ -353,6 +394,7 @@
 
 def states(*events):
     """What the gateway has been told of each backend by the end of each list; a list may tell it nothing."""
+
     async def scene():
         told, now = [], {}
         discovery = watching.Discovery(("127.0.0.1", 1), 5, told.append)
@@ -398,6 +440,7 @@
 
 # Lists of any length: taken in slices, and only what they change goes on.
 
+
 def many(count, **more):
     return [entry(f"s{i}", zone=f"z{i % 4}", **more) for i in range(count)]
 
@@ -417,6 +460,7 @@
                 row = row + 1 if (await w.call(request())).body == b"old" else 0
             assert len(w.discovery.targets) == 1
             new.server.close()
+
     run(scene)
 
 
@@ -430,7 +474,8 @@
 
         agent.entries = {each["instanceId"]: each for each in many(1000)}
         watch = watching.Discovery(
-            ("127.0.0.1", agent.port), 0, lambda found: told.append((turn[0], len(found.event.backends))))
+            ("127.0.0.1", agent.port), 0, lambda found: told.append((turn[0], len(found.event.backends)))
+        )
         tick()
         watch.start()
         await watch.first.wait()
@@ -443,6 +488,7 @@
         assert max(count for _, count in told) <= watching.NAMES_SLICE
         assert len({when for when, _ in told}) == len(told)
         watch.stop()
+
     run(scene)
 
 
@@ -454,6 +500,7 @@
         while discovery._take(reader):
             pass
         assert len(discovery._taken.named) > 50 and not gc.is_tracked(discovery._taken.named)
+
     run(scene)
 
 
@@ -486,7 +533,9 @@
         assert events == [] and one.discovery._version == 2
         take(one.discovery, {"generation": 3, "reset": True, "instances": many(2)})
         assert [(each.id, each.state) for event in events for each in event.backends] == [
-            ("s2", io.BackendState.REMOVED)]
+            ("s2", io.BackendState.REMOVED)
+        ]
+
     run(scene)
 
 
@@ -499,6 +548,7 @@
         assert gc.get_freeze_count() == frozen
         take(one.discovery, {"generation": 3, "instances": [entry("one more")]})
         assert gc.get_freeze_count() >= frozen + 3 * host.FREEZE_EACH
+
     try:
         run(scene)
     finally:
@@ -511,7 +561,8 @@
         later = [entry("s1", lifecycle="Terminating"), *(entry(f"n{i}") for i in range(100)), entry("s2")]
         first, second, broken = (
             json.dumps({"generation": generation, "reset": True, "instances": entries}).encode()
-            for generation, entries in ((7, many(100)), (8, later), (8, [entry("s5"), *later])))
+            for generation, entries in ((7, many(100)), (8, later), (8, [entry("s5"), *later]))
+        )
         lines = [first, broken[:-30], second]
 
         async def agent(reader, writer):
@@ -525,18 +576,24 @@
             writer.close()
 
         seen, server = [], await asyncio.start_server(agent, "127.0.0.1", 0)
-        watch = watching.Discovery(server.sockets[0].getsockname(), 0, lambda found: told.update(
-            (each.id, each.state.value) for each in found.event.backends))
+        watch = watching.Discovery(
+            server.sockets[0].getsockname(),
+            0,
+            lambda found: told.update((each.id, each.state.value) for each in found.event.backends),
+        )
         watch.start()
         await until(lambda: len(tries) == 4)
         everywhere = {f"s{i}": "up" for i in range(100)}
         assert seen[0] == everywhere
         assert seen[1] == {**everywhere, "s1": "draining", **{f"n{i}": "up" for i in range(100)}}
         assert {name for name, state in seen[2].items() if state == "up"} == {
-            "s2", *(f"n{i}" for i in range(100))}
+            "s2",
+            *(f"n{i}" for i in range(100)),
+        }
         assert [target.rpartition(b"=")[2] for target in tries] == [b"1", b"7", b"7", b"8"]
         watch.stop()
         server.close()
+
     run(scene)
 
 
@@ -552,6 +609,7 @@
         take(discovery, {"instances": [entry("a"), entry("c"), *more], "reset": True, "generation": 8})
         now.update((each.id, each.state.value) for found in told for each in found.event.backends)
         assert (now["a"], now["b"], now["c"]) == ("up", "removed", "up")
+
     run(scene)
 
 
@@ -563,6 +621,7 @@
         take(discovery, {"generation": 1, "reset": True, "instances": many(count)})
         take(discovery, {"generation": 2, "instances": many(count, lifecycle="Terminating")})
         assert len(discovery._leaving) == count
+
     run(scene)
 
 
@@ -574,6 +633,7 @@
         with pytest.raises(ValueError):
             take(discovery, {"generation": 1, "instances": many(101)})
         assert len(discovery._known) == 100
+
     run(scene)
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -27,6 +27,7 @@
             assert await w.stop() == 0
             assert await idle.ended()
             assert "Traceback" not in w.log.read_text()
+
     run(scene)
 
 
@@ -47,6 +48,7 @@
                 assert (answer.status, answer.headers["connection"]) == (200, "close")
                 assert await one.ended()
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -63,6 +65,7 @@
             assert [x.headers.get("connection") for x in answers] == [None, "close"]
             assert [x.status for x in answers] == [200, 200] and await client.ended()
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -81,6 +84,7 @@
             assert answer.status == code
             assert asyncio.get_running_loop().time() - began > 2.0
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -95,6 +99,7 @@
                 await stopping(w)
                 assert (await client.answer()).status == 503
                 assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -110,6 +115,7 @@
             assert (await client.answer()).status == 502
             assert asyncio.get_running_loop().time() - began < 0.6 + 0.7 + 20.0
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -125,6 +131,7 @@
             await asyncio.sleep(0.2)  # a client slow to read
             assert len((await client.answer()).body) == 65536
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -141,6 +148,7 @@
             hold.release.set()
             assert (await client.answer()).status == 200
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -159,6 +167,7 @@
             assert (await client.answer()).status in (200, 503)
             assert await w.program.wait() == 0
             second.server.close()
+
     run(scene)
 
 
@@ -190,6 +199,7 @@
                 answer = await client.answer()
                 assert (answer.status, answer.headers["connection"]) == (200, "close")
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -208,6 +218,7 @@
                 answer = await client.answer()
                 assert (answer.status, answer.headers["connection"]) == (200, "close")
             assert await w.program.wait() == 0
+
     run(scene)
 
 
@@ -223,4 +234,5 @@
             hold.release.set()
             assert (await busy.answer()).status == 200
             assert await w.program.wait() == 0
+
     run(scene)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -19,21 +19,39 @@
 from emulator.checks import Asked, Checks
 
 TROUBLED = Options(
-    gateways=5, hollow=1, backends=6, seconds=8.0, leave=0.05, faults=(
-        Fault("kill", 4.0, part=0.5), Fault("drain", 2.0, 1.0, 0.3), Fault("reset", 1.0, 5.0, 0.1),
-        Fault("connect-late", 1.0, 6.0, 0.3, 1.0), Fault("leave", 3.0, part=0.3),
-        Fault("watch-silent", 2.5, part=1.0), Fault("stand-still", 2.0, 3.0, 0.5, 0.3)))
+    gateways=5,
+    hollow=1,
+    backends=6,
+    seconds=8.0,
+    leave=0.05,
+    faults=(
+        Fault("kill", 4.0, part=0.5),
+        Fault("drain", 2.0, 1.0, 0.3),
+        Fault("reset", 1.0, 5.0, 0.1),
+        Fault("connect-late", 1.0, 6.0, 0.3, 1.0),
+        Fault("leave", 3.0, part=0.3),
+        Fault("watch-silent", 2.5, part=1.0),
+        Fault("stand-still", 2.0, 3.0, 0.5, 0.3),
+    ),
+)
 
 
 def test_the_same_seed_gives_the_same_bytes_whatever_the_order_of_hash_tables():
     command = (
         "import json, emulator; from tests.test_emulator import TROUBLED; r = emulator.play(TROUBLED);"
-        "print(json.dumps([r.digest, r.figures, r.broken, r.errors]))")
+        "print(json.dumps([r.digest, r.figures, r.broken, r.errors]))"
+    )
     found = [
         subprocess.run(
-            [sys.executable, "-c", command], env={**os.environ, "PYTHONHASHSEED": seed}, check=True,
-            cwd=Path(__file__).parents[1], capture_output=True, text=True).stdout
-        for seed in ("1", "2")]
+            [sys.executable, "-c", command],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            check=True,
+            cwd=Path(__file__).parents[1],
+            capture_output=True,
+            text=True,
+        ).stdout
+        for seed in ("1", "2")
+    ]
     assert found[0] == found[1]
     _, figures, broken, errors = json.loads(found[0])
     assert broken == {} and errors == []
@@ -52,16 +70,27 @@
     assert abs(whole.figures["served"] - hollow.figures["served"]) < 0.1 * hollow.figures["served"]
 
 
-@pytest.mark.parametrize("fault, rule, broken", [
-    (Fault("leave", 2.0, part=0.5), "sent to a backend that had left", {
-        (discovery, "STATES"): {"Ready": io.BackendState.UP, "Terminating": io.BackendState.UP}}),
-    (Fault("leavers", 1.0, 4.0, 0.5), "begun after its client left", {
-        (Host, "left"): lambda self, client: None, (Client, "gone"): lambda self: False}),
-    (Fault("drain", 1.0, 2.0, 1.0), "no final answer: its connection was ended", {
-        (Host, "finish"): lambda self: None, (Client, "answer"): lambda self, *answer: None}),
-    (Fault("hang", 1.0, 9.0, 0.2), "not ready in time", {
-        (Backends, "any_up"): lambda self: False}),
-])
+@pytest.mark.parametrize(
+    "fault, rule, broken",
+    [
+        (
+            Fault("leave", 2.0, part=0.5),
+            "sent to a backend that had left",
+            {(discovery, "STATES"): {"Ready": io.BackendState.UP, "Terminating": io.BackendState.UP}},
+        ),
+        (
+            Fault("leavers", 1.0, 4.0, 0.5),
+            "begun after its client left",
+            {(Host, "left"): lambda self, client: None, (Client, "gone"): lambda self: False},
+        ),
+        (
+            Fault("drain", 1.0, 2.0, 1.0),
+            "no final answer: its connection was ended",
+            {(Host, "finish"): lambda self: None, (Client, "answer"): lambda self, *answer: None},
+        ),
+        (Fault("hang", 1.0, 9.0, 0.2), "not ready in time", {(Backends, "any_up"): lambda self: False}),
+    ],
+)
 def test_a_gateway_that_breaks_a_rule_is_seen_to(monkeypatch, fault, rule, broken):
     monkeypatch.setattr("elderhub.__main__.READY_S", 60.0)
     for (owner, name), other in broken.items():
@@ -105,33 +134,45 @@
     assert not safe.broken
 
 
-@pytest.mark.parametrize("rule, events", [
-    ("two attempts at once", lambda s: (s.tried(10.0), s.tried(20.0))),
-    ("two attempts at once", lambda s: (s.tried(10.0, shut_at=21.0), s.tried(20.0))),
-    ("an unsafe request sent again that may have run",
-     lambda s: (s.tried(10.0, shut_at=15.0), s.tried(20.0))),
-    ("refused what may have run", lambda s: (s.tried(10.0), s.got(20.0, 503))),
-    ("a second final answer", lambda s: (s.got(20.0, 502), s.got(30.0, 502))),
-    ("served with what no backend made for it", lambda s: (s.tried(10.0), s.got(20.0, 200, b"else"))),
-    ("no final answer in time", lambda s: s.got(1501.0, 502)),
-    ("sent on after its end", lambda s: (s.got(20.0, 502), s.tried(21.0))),
-    ("begun after its client left", lambda s: (s.left(10.0, 12.0, s.one), s.tried(113.0))),
-    ("sent to a backend that had left", lambda s: (s.told(0, "b", True, 100.0), s.tried(2151.0))),
-    ("sent on what no client asked", lambda s: s.tried(10.0, name="x")),
-    ("passed on changed", lambda s: s.tried(10.0, text=b"GET /?\n")),
-])
+@pytest.mark.parametrize(
+    "rule, events",
+    [
+        ("two attempts at once", lambda s: (s.tried(10.0), s.tried(20.0))),
+        ("two attempts at once", lambda s: (s.tried(10.0, shut_at=21.0), s.tried(20.0))),
+        (
+            "an unsafe request sent again that may have run",
+            lambda s: (s.tried(10.0, shut_at=15.0), s.tried(20.0)),
+        ),
+        ("refused what may have run", lambda s: (s.tried(10.0), s.got(20.0, 503))),
+        ("a second final answer", lambda s: (s.got(20.0, 502), s.got(30.0, 502))),
+        ("served with what no backend made for it", lambda s: (s.tried(10.0), s.got(20.0, 200, b"else"))),
+        ("no final answer in time", lambda s: s.got(1501.0, 502)),
+        ("sent on after its end", lambda s: (s.got(20.0, 502), s.tried(21.0))),
+        ("begun after its client left", lambda s: (s.left(10.0, 12.0, s.one), s.tried(113.0))),
+        ("sent to a backend that had left", lambda s: (s.told(0, "b", True, 100.0), s.tried(2151.0))),
+        ("sent on what no client asked", lambda s: s.tried(10.0, name="x")),
+        ("passed on changed", lambda s: s.tried(10.0, text=b"GET /?\n")),
+    ],
+)
 def test_each_rule_breaks(rule, events):
     seen = Seen(io.Repeat.UNSAFE)
     events(seen)
     assert seen.broken[rule] == 1
 
 
-@pytest.mark.parametrize("make, name", [
-    (lambda: Options(gateways=0), "gateways"), (lambda: Options(sockets=63), "sockets"),
-    (lambda: Options(seconds=0.0), "seconds"), (lambda: Options(hollow=9), "hollow"),
-    (lambda: Options(spread=(3, 2)), "spread"), (lambda: Fault("storm"), "kind"),
-    (lambda: Fault("kill", part=1.5), "part"), (lambda: Fault("kill", at_s=-1.0), "at_s"),
-])
+@pytest.mark.parametrize(
+    "make, name",
+    [
+        (lambda: Options(gateways=0), "gateways"),
+        (lambda: Options(sockets=63), "sockets"),
+        (lambda: Options(seconds=0.0), "seconds"),
+        (lambda: Options(hollow=9), "hollow"),
+        (lambda: Options(spread=(3, 2)), "spread"),
+        (lambda: Fault("storm"), "kind"),
+        (lambda: Fault("kill", part=1.5), "part"),
+        (lambda: Fault("kill", at_s=-1.0), "at_s"),
+    ],
+)
 def test_options_that_cannot_be_played_are_told_by_name(make, name):
     with pytest.raises(ValueError, match=f"^{name}: "):
         make()
--- a/tests/test_emulator_network.py
+++ b/tests/test_emulator_network.py
@@ -64,7 +64,7 @@
     assert 30.0 <= p.up_at[0] < 33.0  # there and back between regions
     sent = b"".join(b"%d," % number for number in range(2000))
     for start in range(0, len(sent), 10):
-        end.stream.send(sent[start:start + 10])
+        end.stream.send(sent[start : start + 10])
         p.run(1.0 + CUT_MS[1])
     p.run()
     assert p.accepted[0].data == sent and p.accepted[0].pieces > len(sent) / 10
