--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -43,25 +43,33 @@
     return folder
 
 
-@pytest.mark.parametrize("old, new, told", [
-    ("gateways = 3", "gatways = 3", ["fleet.gatways", "gateways, regions"]),
-    ("gateways = 3", "gateways = 0", ["fleet.gateways", "1<=x<=4000"]),
-    ("gateways = 3", "gateways = 3.5", ["fleet.gateways", "whole number"]),
-    ("faults.restart", "faults.flood", ["faults.flood", "counter-gone", "zone"]),
-    ("length = 0.5", "length = 5", ["faults.restart", "load.seconds (2)"]),
-    ("at = 0.5, ", "", ["faults.restart.at", "missing"]),
-    ('"load.load"', '"load.heat"', ["sweep.load.heat", "rate", "warm_up"]),
-    ("[0.3, 0.6]", "[0.3, 0.3]", ["sweep.load.load", "twice"]),
-    ("[0.3, 0.6]", str([n / 1000 for n in range(1, 1001)]), ["sweep", "4,000 runs", "2,000"]),
-    ("[sweep]", "[sweep]\nsize = [{ load.load = 0.5 }]", ["sweep.load.load", "another axis"]),
-    ("{ at = 0.5, length = 0.5 }", "{}", ["faults.restart", "empty"]),
-    ("seconds = 2", "rate = inf", ["load.rate", "inf is no number"]),
-    ("seconds = 2", "rate = 1" + 400 * "0", ["load.rate", "too large"]),
-    ("[1, 3]", '"1-3"', ["fleet.spread", "'1-3' is no number, or two"]),
-    ("seeds = [1, 2]", "seeds = [1, -2]", ["seeds", "-2"]),
-    ('"served_worth_share",', '"served",  "speed",', ["compare.figures", "'speed'", "served_worth_share"]),
-    ("name =", "title =", ["title", "name, question, seeds"]),
-    ("[compare]", "[compare", ["no TOML"])])
+@pytest.mark.parametrize(
+    "old, new, told",
+    [
+        ("gateways = 3", "gatways = 3", ["fleet.gatways", "gateways, regions"]),
+        ("gateways = 3", "gateways = 0", ["fleet.gateways", "1<=x<=4000"]),
+        ("gateways = 3", "gateways = 3.5", ["fleet.gateways", "whole number"]),
+        ("faults.restart", "faults.flood", ["faults.flood", "counter-gone", "zone"]),
+        ("length = 0.5", "length = 5", ["faults.restart", "load.seconds (2)"]),
+        ("at = 0.5, ", "", ["faults.restart.at", "missing"]),
+        ('"load.load"', '"load.heat"', ["sweep.load.heat", "rate", "warm_up"]),
+        ("[0.3, 0.6]", "[0.3, 0.3]", ["sweep.load.load", "twice"]),
+        ("[0.3, 0.6]", str([n / 1000 for n in range(1, 1001)]), ["sweep", "4,000 runs", "2,000"]),
+        ("[sweep]", "[sweep]\nsize = [{ load.load = 0.5 }]", ["sweep.load.load", "another axis"]),
+        ("{ at = 0.5, length = 0.5 }", "{}", ["faults.restart", "empty"]),
+        ("seconds = 2", "rate = inf", ["load.rate", "inf is no number"]),
+        ("seconds = 2", "rate = 1" + 400 * "0", ["load.rate", "too large"]),
+        ("[1, 3]", '"1-3"', ["fleet.spread", "'1-3' is no number, or two"]),
+        ("seeds = [1, 2]", "seeds = [1, -2]", ["seeds", "-2"]),
+        (
+            '"served_worth_share",',
+            '"served",  "speed",',
+            ["compare.figures", "'speed'", "served_worth_share"],
+        ),
+        ("name =", "title =", ["title", "name, question, seeds"]),
+        ("[compare]", "[compare", ["no TOML"]),
+    ],
+)
 def test_a_file_that_cannot_be_used_is_told_by_file_and_key_and_nothing_is_run(tmp_path, old, new, told):
     file, out = tmp_path / "bad.toml", tmp_path / "out"
     file.write_text(TINY.replace(old, new, 1))
@@ -78,8 +86,11 @@
         assert (one / name).read_bytes() == (two / name).read_bytes()
     found = results.read(one)
     assert [results.key(record) for record in found.records] == [
-        (point, faulted, seed) for point in ("load=0.3", "load=0.6") for seed in (1, 2)
-        for faulted in (True, False)]
+        (point, faulted, seed)
+        for point in ("load=0.3", "load=0.6")
+        for seed in (1, 2)
+        for faulted in (True, False)
+    ]
     for record in found.records:
         plans = record["figures"]["served_worth_share_by_plan"]
         assert set(plans) <= {"basico", "estandar", "ampliado"} and max(plans.values()) <= 1.0
@@ -102,7 +113,12 @@
     file.write_text(TINY.replace("seeds = [1, 2]", f"seeds = {list(range(400))}"))
     process = subprocess.Popen(
         [sys.executable, "-m", "rosehitch", "experiment", str(file), "--out", str(out), "--processes", "2"],
-        cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True, start_new_session=True)
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        stdout=subprocess.DEVNULL,
+        text=True,
+        start_new_session=True,
+    )
     assert process.stderr.readline().startswith("1 of 1600")
     os.killpg(process.pid, signal.SIGINT)  # as a terminal does: to the workers too
     told = process.stderr.read()
@@ -134,7 +150,8 @@
     file.write_text(TINY)
     real = plan.read(file)
     broken = tuple(
-        replace(run, module=(("no such setting", 1),)) if run.seed == 2 else run for run in real.runs)
+        replace(run, module=(("no such setting", 1),)) if run.seed == 2 else run for run in real.runs
+    )
     monkeypatch.setattr(plan, "read", lambda path: replace(real, runs=broken))
     found = run("experiment", file, "--out", out, "--processes", 2)
     assert found.exit_code == 1 and "no such setting" in found.stderr
@@ -161,7 +178,9 @@
     def records(by: float, seeds: int) -> list[dict]:
         return [
             {"point": point, "seed": seed, "figures": {"x": by + seed, "flat": 1.0}}
-            for point in "abcd" for seed in range(seeds)]
+            for point in "abcd"
+            for seed in range(seeds)
+        ]
 
     def verdicts(by: float, seeds: int) -> list[set[str]]:
         found = noise.paired(records(0.0, seeds), records(by, seeds), ["x", "flat"])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -31,10 +31,18 @@
     return len(Read.looks)
 
 
-@pytest.mark.parametrize("change", [
-    io.Backend("b7", state=io.BackendState.DRAINING), io.Backend("b7", state=io.BackendState.REMOVED),
-    io.Backend("b7", weight=9.0), io.Backend("b7", started_ms=5.0), io.Backend("new"),
-    io.Backend("b8", state=io.BackendState.DRAINING)], ids=str)
+@pytest.mark.parametrize(
+    "change",
+    [
+        io.Backend("b7", state=io.BackendState.DRAINING),
+        io.Backend("b7", state=io.BackendState.REMOVED),
+        io.Backend("b7", weight=9.0),
+        io.Backend("b7", started_ms=5.0),
+        io.Backend("new"),
+        io.Backend("b8", state=io.BackendState.DRAINING),
+    ],
+    ids=str,
+)
 def test_a_change_looks_at_as_many_backends_in_a_long_list_as_in_a_short_one(monkeypatch, change):
     monkeypatch.setattr(brain, "Server", Read)
     assert 0 < looks(4000, change) <= looks(40, change) < 60
@@ -53,16 +61,21 @@
     rng, p, now = random.Random(3), Play(()), {}
     for _ in range(600):
         entry = io.Backend(
-            f"b{rng.randrange(40)}", f"z{rng.randrange(3)}", cell=rng.randrange(4),
-            state=rng.choice(list(io.BackendState)), weight=rng.choice([0.5, 1.0, 2.0, rng.random()]),
-            started_ms=rng.choice([0.0, 1.0, p.now]))
+            f"b{rng.randrange(40)}",
+            f"z{rng.randrange(3)}",
+            cell=rng.randrange(4),
+            state=rng.choice(list(io.BackendState)),
+            weight=rng.choice([0.5, 1.0, 2.0, rng.random()]),
+            started_ms=rng.choice([0.0, 1.0, p.now]),
+        )
         now[entry.id] = entry
         p.now += 100.0
         p.roster(entry, kind=io.ListKind.CHANGES)
         up = {name: x for name, x in now.items() if x.state is io.BackendState.UP}
         fleet = p.g.fleet
         assert {x.id: (x.zone, x.cell, x.weight) for x in fleet.usable} == {
-            name: (x.zone, x.cell, x.weight) for name, x in up.items()}
+            name: (x.zone, x.cell, x.weight) for name, x in up.items()
+        }
         assert all(x.place == i and fleet.all[x.id] is x for i, x in enumerate(fleet.usable))
         assert fleet.heaviest == max((x.weight for x in up.values()), default=1.0)
         home = rng.choice(list(fleet.all.values()))
@@ -79,7 +92,7 @@
 def test_a_first_list_in_parts_bounds_the_attempts_out_as_one_in_one_piece():
     whole, parts = Play(entries(60)), Play(())
     for i in range(0, 60, 20):
-        parts.roster(*entries(60)[i:i + 20], kind=io.ListKind.CHANGES)
+        parts.roster(*entries(60)[i : i + 20], kind=io.ListKind.CHANGES)
     assert parts.g.limit == whole.g.limit == brain.FLEET_FIRST * 60 / 2
     assert of(parts.request()[1], io.Send)
     parts.g.limit = 5.0  # found out since
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -85,6 +85,7 @@
         assert carried == ["a", "b"]
         failed = io.Outcome.CONNECT_FAILED
         assert one._module.events == ["first", io.CountResult("a", failed), io.CountResult("b", failed)]
+
     run(scene)
 
 
@@ -96,6 +97,7 @@
             assert not backend.seen and "RuntimeError: a bug" in w.log.read_text()
             assert (await w.call(request(name="r2"))).status == 200
             assert await w.stop() == 0
+
     run(scene)
 
 
@@ -106,6 +108,7 @@
             assert (answer.status, answer.body) == (200, b"beds")
             assert (await w.call(request(name="r2"))).status == 200
             assert "RuntimeError: a bug" in w.log.read_text()
+
     run(scene)
 
 
@@ -127,6 +130,7 @@
             client.send(request(name="last"))
             assert (await client.answer()).status == 200
             assert "Traceback" not in w.log.read_text()
+
     run(scene)
 
 
@@ -164,6 +168,7 @@
         assert not one._names and not module.requests and not module.flights and not module.calls
         assert one._module.out == 0 and not one._events
         one.clients.stop_listening()
+
     run(scene)
 
 
@@ -191,11 +196,17 @@
     async def __aenter__(self):
         self.backends = [await Backend().start() for _ in range(1 + self._more)]
         self.backend, self.counter = self.backends[0], await Counter().start()
-        known = {"generation": 1, "instances": [
-            Discovery().entry(f"b{i}", backend.port) for i, backend in enumerate(self.backends)]}
+        known = {
+            "generation": 1,
+            "instances": [
+                Discovery().entry(f"b{i}", backend.port) for i, backend in enumerate(self.backends)
+            ],
+        }
         limits = {"policyLimits": {"cancel": self._cancel, "connectTimeoutMs": 30000.0}}
-        config = loaded(self._path, told(
-            known=known, counter=f"127.0.0.1:{self.counter.port}", settings=settings(**limits)))
+        config = loaded(
+            self._path,
+            told(known=known, counter=f"127.0.0.1:{self.counter.port}", settings=settings(**limits)),
+        )
         self.host, self.listen = host.Host(config), free_port()
         self.gate = self.host.backends.loop = Gate(asyncio.get_running_loop())
         self.host.counter.start()
@@ -277,6 +288,7 @@
             if when == "unread":
                 stand_still(client)
             elif when == "between two attempts":
+
                 async def fails(seen, writer):
                     answer = b"HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n"
                     os.write(writer.get_extra_info("socket").fileno(), answer)
@@ -336,6 +348,7 @@
                 answer = await w.call(request("pay", name=f"r{i}", X_Timeout="0.1"))
                 assert answer.status in (502, 503)
             assert "not answered in time" not in w.log.read_text()
+
     run(scene)
 
 
@@ -350,6 +363,7 @@
             await w.start()
             assert (await w.call(request(name="r2"))).status == 200
             await until(lambda: len(w.backends["b1"].seen) == 2)
+
     run(scene)
 
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -10,7 +10,8 @@
 
 ENTRIES = [
     {"instanceId": f"s-{i}", "zone": 'a"}]\\{[', "weight": 1.5e-3 * i, "more": {"of": [{}, [i], "é\u2028\n"]}}
-    for i in range(30)]
+    for i in range(30)
+]
 WHOLE = {"generation": 41, "reset": True, "instances": ENTRIES}
 LATE = {"other": {"instances": [1, 2]}, "instances": ENTRIES[:3], "reset": False, "generation": 42}
 BARE = {"generation": 43}
@@ -23,7 +24,7 @@
 def parts(data, size, most):
     reader = Reader()
     for at in range(0, len(data), size):
-        reader.feed(data[at:at + size])
+        reader.feed(data[at : at + size])
         while (part := reader.read(most)) is not None:
             yield part
 
@@ -40,38 +41,65 @@
 
 
 @pytest.mark.parametrize("size", [1, 2, 61, 1 << 20])
-@pytest.mark.parametrize("form", [
-    {}, {"indent": 2}, {"indent": "\t", "ensure_ascii": False}, {"separators": (",", ":")}], ids=str)
+@pytest.mark.parametrize(
+    "form", [{}, {"indent": 2}, {"indent": "\t", "ensure_ascii": False}, {"separators": (",", ":")}], ids=str
+)
 def test_objects_are_read_in_any_pieces_and_any_form(size, form):
     assert objects(stream(WHOLE, LATE, BARE, **form), size) == [
-        (ENTRIES, 41, True), (ENTRIES[:3], 42, False), ([], 43, None)]
+        (ENTRIES, 41, True),
+        (ENTRIES[:3], 42, False),
+        ([], 43, None),
+    ]
 
 
 def test_entries_are_handed_on_as_they_come_and_so_many_at_once_at_most():
     reader, data = Reader(), stream(WHOLE)
-    reader.feed(data[:len(data) // 2])
+    reader.feed(data[: len(data) // 2])
     early = list(iter(lambda: reader.read(4), None))
     assert sum(len(part.entries) for part in early) >= 14 and not any(part.ends for part in early)
     assert all(part.generation == 41 and part.reset for part in early) and reader.inside
     assert max(len(part.entries) for part in parts(data, len(data), 4)) == 4
-    reader.feed(data[len(data) // 2:])
+    reader.feed(data[len(data) // 2 :])
     assert list(iter(lambda: reader.read(4), None))[-1].ends
     assert not reader.inside and not reader.any()
 
 
-@pytest.mark.parametrize("data", [
-    b"nonsense", b"7", b"[]", b'{"a" 1}', b'{"a":1 "b":2}', b'{7:1}', b'{"instances":{"a":1}}',
-    b'{"instances":[{"a":1} {"b":2}]}', b'{"instances":[{"a":tru}, {"instanceId":"a further one"}]}',
-    b'{"instances":[{"a":"\n"}]}  and some more text', b'{"a":' + b"[" * 5000, b"\xff\xff"], ids=repr)
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense",
+        b"7",
+        b"[]",
+        b'{"a" 1}',
+        b'{"a":1 "b":2}',
+        b"{7:1}",
+        b'{"instances":{"a":1}}',
+        b'{"instances":[{"a":1} {"b":2}]}',
+        b'{"instances":[{"a":tru}, {"instanceId":"a further one"}]}',
+        b'{"instances":[{"a":"\n"}]}  and some more text',
+        b'{"a":' + b"[" * 5000,
+        b"\xff\xff",
+    ],
+    ids=repr,
+)
 def test_what_is_no_list_is_refused(data):
     with pytest.raises(ValueError):
         objects(data + b"\n")
 
 
-@pytest.mark.parametrize("begin, piece", [
-    (b'{"instances":["', b"x"), (b'{"instances":[[', b"7,"), (b'{"a":"', b"x"), (b'{"a":', b"7"),
-    (b"{", b'"a":1,'), (b'{"instances":[', b"7,"), (b'{"instances":[', b'{"instanceId":"a"},'),
-    (b'{"instances":[],', b'"a":"b",')])
+@pytest.mark.parametrize(
+    "begin, piece",
+    [
+        (b'{"instances":["', b"x"),
+        (b'{"instances":[[', b"7,"),
+        (b'{"a":"', b"x"),
+        (b'{"a":', b"7"),
+        (b"{", b'"a":1,'),
+        (b'{"instances":[', b"7,"),
+        (b'{"instances":[', b'{"instanceId":"a"},'),
+        (b'{"instances":[],', b'"a":"b",'),
+    ],
+)
 def test_what_never_ends_is_refused_before_much_of_it_is_kept(monkeypatch, begin, piece):
     monkeypatch.setattr(lists, "ENTRIES_MOST", 10000)
     reader, size = Reader(), 1 << 12
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,12 +15,13 @@
 def config(own, others, everybody=None):
     return SimpleNamespace(
         peers=((HOST, own), *(("127.0.0.1", port) for port in others)),
-        peers_all=("127.0.0.1", everybody) if everybody else None, settings=io.Settings(me=0))
+        peers_all=("127.0.0.1", everybody) if everybody else None,
+        settings=io.Settings(me=0),
+    )
 
 
 async def endpoint(peers, port):
-    return await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: peers, local_addr=(HOST, port))
+    return await asyncio.get_running_loop().create_datagram_endpoint(lambda: peers, local_addr=(HOST, port))
 
 
 def test_a_message_is_told_with_its_senders_number_and_strangers_are_passed_over():
@@ -38,6 +39,7 @@
             await until(lambda: heard and heard[-1].payload == b"hi")
             assert heard == [io.PeerMessage(2, b""), io.PeerMessage(2, b"hi")]
             transport.close()
+
     run(scene)
 
 
@@ -69,6 +71,7 @@
         transport.close()
         for one in sockets:
             one.close()
+
     run(scene)
 
 
@@ -87,4 +90,5 @@
             assert 0 < len(data) <= 256 and sender == (HOST, w.peer_listen)
             assert (await w.call(request())).status == 200
             assert "Traceback" not in w.log.read_text()
+
     run(scene)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -11,7 +11,8 @@
 ROOT = Path(__file__).parent.parent
 TEXT = (ROOT / "README.md").read_text(encoding="utf-8")
 NOT_IN_A_CHECKOUT = shutil.ignore_patterns(
-    ".git", ".venv*", "build", "*.egg-info", "__pycache__", ".*_cache", "journal")
+    ".git", ".venv*", "build", "*.egg-info", "__pycache__", ".*_cache", "journal"
+)
 
 
 def test_the_example_runs():
@@ -27,12 +28,16 @@
     shutil.copytree(ROOT, tmp_path / "here", ignore=NOT_IN_A_CHECKOUT)
     *commands, last = re.search(r"```sh\n(.*?)```", TEXT, re.S).group(1).splitlines()
     assert [command.split("/")[-1] for command in commands] == [
-        "python3 -m venv .venv-demo", "pip install .", "rosehitch demo"]
+        "python3 -m venv .venv-demo",
+        "pip install .",
+        "rosehitch demo",
+    ]
     for command in commands:
         if command.endswith("rosehitch demo"):
             command += " --seconds 3"
-        done = subprocess.run(["/bin/sh", "-c", command], cwd=tmp_path / "here", timeout=600,
-                              capture_output=True, text=True)
+        done = subprocess.run(
+            ["/bin/sh", "-c", command], cwd=tmp_path / "here", timeout=600, capture_output=True, text=True
+        )
         assert done.returncode == 0, (command, done.stdout, done.stderr)
     told = done.stdout.splitlines()[-1]
     assert re.fullmatch(r"(\d+) of \1 requests answered: .*; rules kept: 5 of 5", told)
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -24,9 +24,18 @@
     return {"generation": 1, "instances": [world.discovery.entry(f"old{i}", free_port()) for i in range(5)]}
 
 
-@pytest.mark.parametrize("what", [
-    "discovery is silent", "discovery is silent and nothing is remembered", "discovery answers late",
-    "the list is empty", "what is remembered is gone", "the counter is down", "all at once"])
+@pytest.mark.parametrize(
+    "what",
+    [
+        "discovery is silent",
+        "discovery is silent and nothing is remembered",
+        "discovery answers late",
+        "the list is empty",
+        "what is remembered is gone",
+        "the counter is down",
+        "all at once",
+    ],
+)
 def test_a_restarted_gateway_is_ready_in_time(what):
     async def scene():
         backends = {} if what in ("the list is empty", "all at once") else {"b1": Backend()}
@@ -47,12 +56,14 @@
             if backends and not silent:
                 assert (await w.call(request())).status == 200
             assert (await w.stop()) == 0
+
     run(scene)
 
 
 def test_a_gateway_killed_under_load_is_ready_again_in_time():
     async def scene():
         async with World({f"b{i}": Backend() for i in range(3)}) as w:
+
             async def load():
                 while True:
                     with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -69,4 +80,5 @@
             for task in tasks:
                 task.cancel()
             assert (await w.call(request())).status == 200
+
     run(scene)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -61,8 +61,10 @@
     return await world.call(request())
 
 
-@pytest.mark.parametrize("text", ["{", "[]", "{}", '{"discovery": "here", "counter": "127.0.0.1:1"}',
-                                  '{"discovery": "127.0.0.1:1"}'])
+@pytest.mark.parametrize(
+    "text",
+    ["{", "[]", "{}", '{"discovery": "here", "counter": "127.0.0.1:1"}', '{"discovery": "127.0.0.1:1"}'],
+)
 def test_a_file_that_cannot_be_used_changes_nothing(text):
     async def scene():
         async with World({"b1": Backend()}) as w:
@@ -78,8 +80,10 @@
 
 def test_a_signal_during_the_start_does_not_kill():
     async def scene():
-        patch = "import os, signal\nload = main.load\n" \
+        patch = (
+            "import os, signal\nload = main.load\n"
             "main.load = lambda e: (os.kill(os.getpid(), signal.SIGHUP), load(e))[1]"
+        )
         async with World({"b1": Backend()}, patch=patch) as w:
             assert (await w.call(request())).status == 200
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -111,8 +111,10 @@
 
 
 def test_keyed_is_not_repeated_when_its_key_is_forgotten():
-    p = Play(classes={"hold": io.RequestClass("hold", 3500.0, 4000.0, io.Repeat.KEYED, "zone", 300.0)},
-             may_duplicate=False)
+    p = Play(
+        classes={"hold": io.RequestClass("hold", 3500.0, 4000.0, io.Repeat.KEYED, "zone", 300.0)},
+        may_duplicate=False,
+    )
     name, _ = p.request(kind="hold")
     p.advance(p.now + 400.0)
     out = p.ended(name, 0, io.Outcome.RESET, took=400.0)
--- a/tests/test_rules_seen.py
+++ b/tests/test_rules_seen.py
@@ -5,8 +5,11 @@
 from rosehitch import rules
 from rosehitch.rules import ANSWERS, AT_ONCE, DRAINS, QUOTAS, UNSAFE, Rules
 
-PLANS = {"free": {}, "quota": {"unitsPerS": 2.0, "depth": 4.0},
-         "hard": {"hardRate": 4.0, "ceilingBurst": 8.0, "tolerance": 1.0}}
+PLANS = {
+    "free": {},
+    "quota": {"unitsPerS": 2.0, "depth": 4.0},
+    "hard": {"hardRate": 4.0, "ceilingBurst": 8.0, "tolerance": 1.0},
+}
 DRAIN_S, LAST_S = 1.0, 2.0
 
 
@@ -71,17 +74,29 @@
 
 
 CASES = [
-    (lambda s: s.one("r"), None), (lambda s: s.ask("r"), ANSWERS), (lambda s: s.reach("r"), ANSWERS),
-    (lambda s: answered(s, 200, b"theirs", 2.4), None), (lambda s: answered(s, 200, b"theirs", 2.6), ANSWERS),
-    (lambda s: answered(s, 200, b"ours", 0.2), ANSWERS), (lambda s: answered(s, 0, b"", 0.2), ANSWERS),
-    (lambda s: answered(s, 502, b"", 0.2), None), (lambda s: s.surplus(1), ANSWERS),
-    (lambda s: again(s, True, "closed"), None), (lambda s: again(s, True, "closed, seen late"), None),
-    (lambda s: again(s, True, "closed after"), AT_ONCE), (lambda s: again(s, True, "out"), AT_ONCE),
-    (lambda s: again(s, False, "turned away"), None), (lambda s: again(s, False, "closed"), UNSAFE),
-    (lambda s: refused(s, "turned away"), None), (lambda s: refused(s, "closed"), UNSAFE),
-    (lambda s: drained(s, 2.04), None), (lambda s: drained(s, 2.06), DRAINS),
-    (lambda s: flood(s, "hard", 9, 0.0), None), (lambda s: flood(s, "hard", 10, 0.0), QUOTAS),
-    (lambda s: flood(s, "quota", 20, 0.5), None), (lambda s: flood(s, "quota", 20, 0.25), QUOTAS),
+    (lambda s: s.one("r"), None),
+    (lambda s: s.ask("r"), ANSWERS),
+    (lambda s: s.reach("r"), ANSWERS),
+    (lambda s: answered(s, 200, b"theirs", 2.4), None),
+    (lambda s: answered(s, 200, b"theirs", 2.6), ANSWERS),
+    (lambda s: answered(s, 200, b"ours", 0.2), ANSWERS),
+    (lambda s: answered(s, 0, b"", 0.2), ANSWERS),
+    (lambda s: answered(s, 502, b"", 0.2), None),
+    (lambda s: s.surplus(1), ANSWERS),
+    (lambda s: again(s, True, "closed"), None),
+    (lambda s: again(s, True, "closed, seen late"), None),
+    (lambda s: again(s, True, "closed after"), AT_ONCE),
+    (lambda s: again(s, True, "out"), AT_ONCE),
+    (lambda s: again(s, False, "turned away"), None),
+    (lambda s: again(s, False, "closed"), UNSAFE),
+    (lambda s: refused(s, "turned away"), None),
+    (lambda s: refused(s, "closed"), UNSAFE),
+    (lambda s: drained(s, 2.04), None),
+    (lambda s: drained(s, 2.06), DRAINS),
+    (lambda s: flood(s, "hard", 9, 0.0), None),
+    (lambda s: flood(s, "hard", 10, 0.0), QUOTAS),
+    (lambda s: flood(s, "quota", 20, 0.5), None),
+    (lambda s: flood(s, "quota", 20, 0.25), QUOTAS),
 ]
 
 
--- a/tests/test_scale_command.py
+++ b/tests/test_scale_command.py
@@ -24,9 +24,26 @@
 
 def test_each_fault_is_played_beside_the_day_without_it(tmp_path):
     file = tmp_path / "faults.json"
-    found = CliRunner().invoke(main, [
-        "faults", "--gateways", "16", "--backends", "16", "--seconds", "16", "--processes", "2",
-        "--only", "zone", "--only", "counter-gone", "--json", str(file)])
+    found = CliRunner().invoke(
+        main,
+        [
+            "faults",
+            "--gateways",
+            "16",
+            "--backends",
+            "16",
+            "--seconds",
+            "16",
+            "--processes",
+            "2",
+            "--only",
+            "zone",
+            "--only",
+            "counter-gone",
+            "--json",
+            str(file),
+        ],
+    )
     assert found.exit_code == 0, found.output
     zone, counter = json.loads(file.read_text())
     # A zone holds one of the 16 gateways, whose requests are lost; without the counter all are harmed.
@@ -35,11 +52,18 @@
     assert counter["lower_for_s"] > 0.0
 
 
-@pytest.mark.parametrize("line, told", [
-    (["hollow", "--gateways", "none"], "--gateways"), (["hollow", "--spread", "9-3"], "--spread"),
-    (["hollow", "--fault", "flood"], "--fault"), (["figures", "--only", "this"], "--only"),
-    (["faults", "--seconds", "17", "--fault-for", "30"], "--seconds"), (["hollow", "--colour"], "--colour"),
-    (["hollow", "--regions", "3", "--zones", "2"], "--regions")])
+@pytest.mark.parametrize(
+    "line, told",
+    [
+        (["hollow", "--gateways", "none"], "--gateways"),
+        (["hollow", "--spread", "9-3"], "--spread"),
+        (["hollow", "--fault", "flood"], "--fault"),
+        (["figures", "--only", "this"], "--only"),
+        (["faults", "--seconds", "17", "--fault-for", "30"], "--seconds"),
+        (["hollow", "--colour"], "--colour"),
+        (["hollow", "--regions", "3", "--zones", "2"], "--regions"),
+    ],
+)
 def test_a_bad_option_is_told_by_name(line, told):
     found = CliRunner().invoke(main, line)
     assert found.exit_code == 2 and told in found.output
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -18,13 +18,19 @@
 
 def test_the_same_options_give_the_same_record_whatever_the_order_of_hash_tables():
     command = (
-        "import json; from tests.test_scale_hollow import SMALL, World;"
-        "print(json.dumps(World(SMALL).play()))")
+        "import json; from tests.test_scale_hollow import SMALL, World;print(json.dumps(World(SMALL).play()))"
+    )
     found = [
         subprocess.run(
-            [sys.executable, "-c", command], env={**os.environ, "PYTHONHASHSEED": seed}, check=True,
-            cwd=Path(__file__).parents[1], capture_output=True, text=True).stdout
-        for seed in ("1", "2")]
+            [sys.executable, "-c", command],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            check=True,
+            cwd=Path(__file__).parents[1],
+            capture_output=True,
+            text=True,
+        ).stdout
+        for seed in ("1", "2")
+    ]
     assert found[0] == found[1] and json.loads(found[0])["served"] > 100
     assert json.loads(found[0])["broken"] == {}
 
@@ -94,8 +100,7 @@
 
     def handle(self, now_ms, event):
         acts = super().handle(now_ms, event)
-        return acts + [
-            io.Send(act.request, self.usable[0].id) for act in acts if isinstance(act, io.Reject)]
+        return acts + [io.Send(act.request, self.usable[0].id) for act in acts if isinstance(act, io.Reject)]
 
 
 class Doubling(Gateway):
@@ -121,10 +126,17 @@
         return acts + [io.Reject(act.request) for act in acts if isinstance(act, io.Send)]
 
 
-@pytest.mark.parametrize("module, what", [
-    (Twice, "a second final answer"), (Late, "a second final answer"),
-    (Deaf, "sent on after its end"), (Doubling, "two attempts at once"),
-    (Dumb, "never answered"), (Retrying, "refused what may have run")])
+@pytest.mark.parametrize(
+    "module, what",
+    [
+        (Twice, "a second final answer"),
+        (Late, "a second final answer"),
+        (Deaf, "sent on after its end"),
+        (Doubling, "two attempts at once"),
+        (Dumb, "never answered"),
+        (Retrying, "refused what may have run"),
+    ],
+)
 def test_a_gateway_that_breaks_a_rule_is_noticed(module, what):
     world = World(SMALL, module)
     world.play()
--- a/tests/test_scale_real.py
+++ b/tests/test_scale_real.py
@@ -36,6 +36,7 @@
 
 def with_gateway(scene, **how):
     """`scene` is played with stand-ins, their agent, and a gateway that is ready."""
+
     async def play():
         async with asyncio.timeout(60), real.Site() as site:
             agent = await Agent(Roster(100, site.backends.port)).start()
@@ -43,6 +44,7 @@
                 await program.ready(real.LIMIT_S)
                 await scene(site, agent, program)
             agent.close()
+
     uvloop.run(play())
 
 
--- a/tests/test_scale_standins.py
+++ b/tests/test_scale_standins.py
@@ -65,7 +65,9 @@
         discovery.change([io.Backend("a", weight=2.0)])
     clock.run(10_000.0)
     assert gateway.got == [
-        (io.ListKind.REMEMBERED, 1, 2), *((io.ListKind.CHANGES, version, 1) for version in range(2, 7))]
+        (io.ListKind.REMEMBERED, 1, 2),
+        *((io.ListKind.CHANGES, version, 1) for version in range(2, 7)),
+    ]
     links.part(links.region(1))
     discovery.change([io.Backend("c")])
     clock.run(20_000.0)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -15,7 +15,8 @@
     def __init__(self, count, lose=lambda sender, to: False, **changes):
         self.now, self.lose, self.n, self.sent, self.calls = 100000.0, lose, 0, 0, 0
         self.gateways = [
-            Gateway(settings(me=i, gateways=count, may_tell=True, **changes), i) for i in range(count)]
+            Gateway(settings(me=i, gateways=count, may_tell=True, **changes), i) for i in range(count)
+        ]
         self.timers = []
         for i in range(count):
             entries = tuple(io.Backend(f"b{k}", zone="z1") for k in range(4))
@@ -36,8 +37,12 @@
 
     def request(self, i, plan="basic", customer="c"):
         self.n += 1
-        self.put(i, io.RequestArrived(
-            f"r{self.n}", customer, plan, "read", self.now + 4000.0, spread=len(self.gateways)))
+        self.put(
+            i,
+            io.RequestArrived(
+                f"r{self.n}", customer, plan, "read", self.now + 4000.0, spread=len(self.gateways)
+            ),
+        )
 
     def advance(self, ms):
         self.now += ms
@@ -125,17 +130,37 @@
     assert next(iter(p.g.buckets.values())).tokens == before
 
 
-@pytest.mark.parametrize("payload", [
-    b"", b"\x00", b"x" * 300, _message(ASK, 1, 1000, text="0 40 basic c")[:-1],
-    _message(ASK, 1, 1000, clock=100000, text="0 40 basic c", version=9),
-    _message(ASK, 1, 1000, clock=100000, text="0 40 nosuchplan c"),
-    _message(ASK, 1, 1000, clock=100000, text="basic c"),
-    _message(ASK, 1, 1000, clock=100000, text="x y basic c"),
-    _message(ASK, 1, 0, clock=100000, text="0 40 basic c"),
-    _message(7, 1, 1000, clock=100000, text="0 40 basic c"), _message(GRANT, 12345, 1000),
-    _message(ASK, 1, 1000, clock=90000, text="0 40 basic c"),
-], ids=["empty", "short", "oversized", "truncated", "version", "plan", "fields", "numbers", "nothing", "kind",
-        "unasked", "stale"])
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\x00",
+        b"x" * 300,
+        _message(ASK, 1, 1000, text="0 40 basic c")[:-1],
+        _message(ASK, 1, 1000, clock=100000, text="0 40 basic c", version=9),
+        _message(ASK, 1, 1000, clock=100000, text="0 40 nosuchplan c"),
+        _message(ASK, 1, 1000, clock=100000, text="basic c"),
+        _message(ASK, 1, 1000, clock=100000, text="x y basic c"),
+        _message(ASK, 1, 0, clock=100000, text="0 40 basic c"),
+        _message(7, 1, 1000, clock=100000, text="0 40 basic c"),
+        _message(GRANT, 12345, 1000),
+        _message(ASK, 1, 1000, clock=90000, text="0 40 basic c"),
+    ],
+    ids=[
+        "empty",
+        "short",
+        "oversized",
+        "truncated",
+        "version",
+        "plan",
+        "fields",
+        "numbers",
+        "nothing",
+        "kind",
+        "unasked",
+        "stale",
+    ],
+)
 def test_a_message_that_cannot_be_used_is_passed_over(payload):
     s = settings(gateways=40, may_tell=True)
     p = Play(me=_home_of(s), gateways=40, may_tell=True)
@@ -193,7 +218,8 @@
 def test_cold_backends_of_a_large_fleet_get_what_they_can_bear_from_all_gateways_together():
     gateways, warm, cold, at = 40, 24, 36, 100000.0
     entries = tuple(io.Backend(f"w{k}", zone="z1") for k in range(warm)) + tuple(
-        io.Backend(f"c{k}", zone="z1", started_ms=at) for k in range(cold))
+        io.Backend(f"c{k}", zone="z1", started_ms=at) for k in range(cold)
+    )
     sent = dict.fromkeys((entry.id for entry in entries), 0)
     for me in range(gateways):
         p = Play(entries, at, me=me, gateways=gateways)
@@ -202,8 +228,10 @@
             (send,) = of(p.request()[1], io.Send)
             sent[send.backend] += 1
             p.ended(send)
-    mean = {"w": sum(n for b, n in sent.items() if b[0] == "w") / warm,
-            "c": sum(n for b, n in sent.items() if b[0] == "c") / cold}
+    mean = {
+        "w": sum(n for b, n in sent.items() if b[0] == "w") / warm,
+        "c": sum(n for b, n in sent.items() if b[0] == "c") / cold,
+    }
     share = settings().cold_from  # which has grown to a quarter by the end
     assert 0.4 * share < mean["c"] / mean["w"] < 2.0 * share
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,8 +21,15 @@
 
 CLASSES = [
     {"name": "read", "idempotency": "safe", "promiseMs": 4000.0, "giveUpMs": 8000.0, "worth": 1.0},
-    {"name": "hold", "idempotency": "keyed", "keyScope": "zone", "keyTtlMs": 5000.0, "promiseMs": 4000.0,
-     "giveUpMs": 8000.0, "worth": 1.0},
+    {
+        "name": "hold",
+        "idempotency": "keyed",
+        "keyScope": "zone",
+        "keyTtlMs": 5000.0,
+        "promiseMs": 4000.0,
+        "giveUpMs": 8000.0,
+        "worth": 1.0,
+    },
     {"name": "pay", "idempotency": "unsafe", "promiseMs": 4000.0, "giveUpMs": 8000.0, "worth": 1.0},
 ]
 PLANS = [{"name": "free"}, {"name": "basic", "unitsPerS": 0.01, "depth": 2.0}]
@@ -30,12 +37,26 @@
 
 def settings(**changes):
     base = {
-        "me": 0, "instances": 2, "zone": "z1", "resolutionMs": 4.0, "discovery": "push", "weights": "off",
-        "classes": CLASSES, "plans": PLANS,
+        "me": 0,
+        "instances": 2,
+        "zone": "z1",
+        "resolutionMs": 4.0,
+        "discovery": "push",
+        "weights": "off",
+        "classes": CLASSES,
+        "plans": PLANS,
         "familyInfo": {"counter": True, "countWaitMs": 2000.0, "unitsTop": 1, "peerInPerS": 60.0},
         "policyLimits": {
-            "cancel": True, "probing": True, "peerMessages": True, "mayDuplicate": False, "retryAfter": True,
-            "maxRetryAfterMs": 5000.0, "tryLimit": 3, "connectTimeoutMs": 2000.0, "keepaliveMs": 60000.0},
+            "cancel": True,
+            "probing": True,
+            "peerMessages": True,
+            "mayDuplicate": False,
+            "retryAfter": True,
+            "maxRetryAfterMs": 5000.0,
+            "tryLimit": 3,
+            "connectTimeoutMs": 2000.0,
+            "keepaliveMs": 60000.0,
+        },
         "obligations": {"answerSlackMs": 16.0, "stopSendingWithinMs": 1000.0},
         "report": {"columns": ["served_ps"], "source": "inline"},
     }
@@ -58,12 +79,14 @@
 def ok(body=b"beds", head=b""):
     async def reply(seen, writer):
         writer.write(b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body))
+
     return reply
 
 
 def status(code, head=b""):
     async def reply(seen, writer):
         writer.write(b"HTTP/1.1 %d Odd\r\n%bContent-Length: 0\r\n\r\n" % (code, head))
+
     return reply
 
 
@@ -73,12 +96,14 @@
 
 def broken(sent=b""):
     """Resets the connection in place of the (rest of the) answer."""
+
     async def reply(seen, writer):
         if sent:
             writer.write(sent)
             await writer.drain()
             await asyncio.sleep(0.05)
         writer.transport.abort()
+
     return reply
 
 
@@ -169,8 +194,16 @@
         return self
 
     def entry(self, name, port, lifecycle="Ready", started=0, zone="z1"):
-        return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "zone": zone, "machineType": "m",
-                "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started}
+        return {
+            "instanceId": name,
+            "hostPort": f"127.0.0.1:{port}",
+            "zone": zone,
+            "machineType": "m",
+            "cell": 0,
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": started,
+        }
 
     def listing(self):
         return {"generation": self.generation, "reset": True, "instances": list(self.entries.values())}
@@ -248,9 +281,15 @@
 
 def request(kind="read", plan="free", customer=CUSTOMER, name=None, body=b"", **headers):
     method = "GET" if kind == "read" else "POST"
-    fields = {"Host": "api.internal", "X-Request-ID": named(name or f"n{next(NEW)}"),
-              "X-Priority-Class": kind, "Plan": plan, "X-Timeout": "8.0",
-              "Quota-Info": "units=1,spread=2,first=0", "Idempotency-Key": "k1"}
+    fields = {
+        "Host": "api.internal",
+        "X-Request-ID": named(name or f"n{next(NEW)}"),
+        "X-Priority-Class": kind,
+        "Plan": plan,
+        "X-Timeout": "8.0",
+        "Quota-Info": "units=1,spread=2,first=0",
+        "Idempotency-Key": "k1",
+    }
     if method == "POST":
         fields["Content-Length"] = str(len(body))
     fields.update({k.replace("_", "-"): v for k, v in headers.items()})
@@ -291,11 +330,17 @@
 
     def config(self):
         return {
-            "name": "n0", "listen": f"{HOST}:{self.listen}", "seed": "8c1f30d27a5be964",
-            "discovery": f"127.0.0.1:{self.discovery.port}", "counter": f"127.0.0.1:{self.counter.port}",
-            "limits": self.limits, "peer_listen": f"{HOST}:{self.peer_listen}",
+            "name": "n0",
+            "listen": f"{HOST}:{self.listen}",
+            "seed": "8c1f30d27a5be964",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "counter": f"127.0.0.1:{self.counter.port}",
+            "limits": self.limits,
+            "peer_listen": f"{HOST}:{self.peer_listen}",
             "peers": [f"{HOST}:{self.peer_listen}", f"127.0.0.1:{self.peer.port}"],
-            "known": self.known or self.discovery.listing(), "settings": settings(**self.changes)}
+            "known": self.known or self.discovery.listing(),
+            "settings": settings(**self.changes),
+        }
 
     def command(self):
         if not self.patch:
@@ -312,7 +357,8 @@
         env = dict(os.environ, NODE_CONFIG=str(self.write_config()), **self.environ)
         with open(self.log, "ab") as log:
             self.program = await asyncio.create_subprocess_exec(
-                sys.executable, *self.command(), cwd=ROOT, env=env, stdout=log, stderr=log)
+                sys.executable, *self.command(), cwd=ROOT, env=env, stdout=log, stderr=log
+            )
         async with asyncio.timeout(LIMIT_S):
             while self.waits and await self.health() != 200:
                 await asyncio.sleep(0.02)
@@ -402,7 +448,9 @@
 
 def run(scene):
     """Play a scene to its end, on the program's own kind of loop: parts of it run here too."""
+
     async def limited():
         async with asyncio.timeout(2 * LIMIT_S):
             await scene()
+
     uvloop.run(limited())
