--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,7 +7,21 @@
 import time
 
 import pytest
-from world import Backend, Hold, World, broken, named, never_up, ok, request, run, status, turned_away, until
+from world import (
+    Backend,
+    Hold,
+    World,
+    broken,
+    named,
+    never_up,
+    ok,
+    request,
+    run,
+    status,
+    turned_away,
+    until,
+    until_end,
+)
 
 from cobaltline import interface as io
 from elderhub import backends
@@ -15,6 +29,7 @@
 from elderhub.wire import report
 
 TURNED_AWAY = [turned_away(), status(504, b"X-Not-Processed: 1\r\n")]
+NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
 MAY_HAVE_RUN = {
     "500": status(500),
     "503 that may have run": status(503),
@@ -23,6 +38,8 @@
     "not processed, it says, but with a 500": status(500, b"X-Not-Processed: 1\r\n"),
     "reset before the answer": broken(),
     "reset inside the answer": broken(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nbeds"),
+    "reset inside an answer with no length": broken(NO_LENGTH + b"beds"),
+    "reset before the body of an answer with no length": broken(NO_LENGTH),
     "reset inside a chunked answer": broken(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbeds\r\n"
     ),
@@ -59,7 +76,7 @@
     "two lengths": says(LENGTH % b"4\r\nContent-Length: 3"),
     "two framings": says(LENGTH % b"4\r\nTransfer-Encoding: chunked"),
     "no length": says(b"HTTP/1.1 200 OK\r\n\r\nbeds"),
-    "no length and an end": broken(b"HTTP/1.1 200 OK\r\n\r\nbeds"),
+    "no length and too large": until_end(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 70000),
     "a chunk that is none": says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbeds\r\n"),
     "chunks without end": says(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%b\r\n" % (b"x" * 1024), 1000
@@ -275,6 +292,22 @@
     run(scene)
 
 
+@pytest.mark.parametrize("kind", ["read", "pay"])
+def test_an_answer_with_no_length_that_ends_in_order_is_served(kind):
+    # The standing page: of the answers with no length that come whole, half at least are forwarded.
+    async def scene():
+        replies = until_end(NO_LENGTH, b"be", b"ds"), until_end(NO_LENGTH + b"beds"), until_end(NO_LENGTH)
+        backend = Backend()
+        async with World({"b1": backend}) as w:
+            for reply, body in zip(replies, (b"beds", b"beds", b""), strict=True):
+                backend.reply = reply
+                answer = await w.call(request(kind))
+                assert (answer.status, answer.body) == (200, body)
+            assert len(backend.seen) == backend.connections == len(replies)
+
+    run(scene)
+
+
 def test_idle_connections_are_retired_before_the_backend_would_close_them():
     async def scene():
         backend = Backend()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 
 import pytest
 from world import CLASSES, CUSTOMER, Backend, Hold, World, named, ok, request, run, status, until
@@ -319,6 +320,69 @@
     run(scene)
 
 
+ACCEPT_FAILS = """import os, socket, time
+accept = socket.socket.accept
+def failing(self):
+    if os.path.exists({flag!r}):
+        os.unlink({flag!r})
+        time.sleep({sleep_s})
+        raise OSError({number}, "injected")
+    return accept(self)
+def listening(where, backlog):
+    out = clients.socket.socket()
+    out.bind(where)
+    out.listen(backlog)
+    return out
+clients.socket.socket = type("Failing", (socket.socket,), {{"accept": failing}})
+clients.socket.create_server = listening
+clients.IDLE_S = {idle_s}"""
+ACCEPT_ERRORS = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO, errno.EINTR]
+
+
+@pytest.mark.parametrize("number", ACCEPT_ERRORS, ids=errno.errorcode.get)
+def test_half_a_request_gets_its_answer_though_no_connection_can_be_taken(number, tmp_path):
+    # System calls fail for moments, and each request that was taken gets precisely one final answer.
+    async def scene():
+        flag = tmp_path / "fail"
+        patch = ACCEPT_FAILS.format(flag=str(flag), sleep_s=0.0, number=number, idle_s=1000.0)
+        async with World({"b1": Backend()}, patch=patch) as w:
+            client, data = await w.connect(), request()
+            client.send(data)
+            assert (await client.answer()).status == 200
+            data = request()
+            client.send(data[:60])
+            await asyncio.sleep(0.05)
+            flag.touch()
+            assert (await w.call(request())).status == 200  # its connection is taken after a failure
+            assert not flag.exists()
+            client.send(data[60:])
+            assert (await client.answer()).status in (200, 503)
+
+    run(scene)
+
+
+@pytest.mark.parametrize("number", ACCEPT_ERRORS, ids=errno.errorcode.get)
+def test_a_request_that_lies_unread_gets_its_answer_though_no_connection_can_be_taken(number, tmp_path):
+    async def scene():
+        flag = tmp_path / "fail"
+        patch = ACCEPT_FAILS.format(flag=str(flag), sleep_s=0.3, number=number, idle_s=0.0)
+        async with World({"b1": Backend()}, patch=patch) as w:
+            client = await w.connect()
+            for _ in range(2):  # the connection is idle
+                client.send(request())
+                assert (await client.answer()).status == 200
+            flag.touch()
+            other = asyncio.create_task(w.call(request()))
+            await until(
+                lambda: not flag.exists()
+            )  # the gateway stands still in accept, which is about to fail
+            client.send(request())
+            assert (await client.answer()).status == 200
+            assert (await other).status == 200
+
+    run(scene)
+
+
 def test_where_connections_run_short_a_first_answer_ends_its_connection_and_those_in_use_stay():
     async def scene():
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 128}
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import struct
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -102,7 +103,27 @@
             writer.write(sent)
             await writer.drain()
             await asyncio.sleep(0.05)
-        writer.transport.abort()
+        reset(writer)
+
+    return reply
+
+
+def reset(writer):
+    """Close with a reset: without this, a close with nothing unread is an orderly end."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def until_end(*parts):
+    """Answers with these bytes, and then ends the connection in order."""
+
+    async def reply(seen, writer):
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.close()
 
     return reply
 
