Answer half a request when accept fails, and serve answers that end in order

Cause: a failed accept made room at once by closing up to 16 connections, half-read requests among them (Clients._accept, _close, rank 3), whatever the error was, and asked none whether more lay unread; Connection.on_headers_complete took any 200 with no length for spoilt. Change: only EMFILE and ENFILE make room; none with unread bytes is closed; half a request gives way last and is answered 503. An answer with no length is whole at an orderly end, never at a reset; a transfer coding other than chunked is spoilt.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -98,7 +98,7 @@
         self._unread = self._size = 0  # bytes since the request was written; of the body
         self._length: bytes | None = None
         self._status, self._never_ran, self._reports = 0, False, []
-        self._chunked = self._headed = False
+        self._chunked = self._headed = self._until_end = False
         self._whole = self._extra = self._lasts = False  # an answer is there; and more; may be used again
         self._stalled: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
@@ -113,7 +113,8 @@
 
     def start(self, exchange: Exchange) -> None:
         self._exchange, exchange.connection = exchange, self
-        self._status, self._whole, self._headed, self._unread = 0, False, False, 0
+        self._status, self._whole, self._headed, self._until_end = 0, False, False, False
+        self._unread = 0
         wait_s = max(0.001, exchange.until - self._pool.loop.time())
         head = exchange.head + b"X-Timeout: %.3f\r\n\r\n" % wait_s
         self._transport.write(head + exchange.body if exchange.body else head)
@@ -159,7 +160,7 @@
         if self._whole:
             raise ValueError("more than was asked for")  # the answer before it stands
         self._headers, self._body, self._size = [], [], 0
-        self._length, self._chunked, self._headed = None, False, False
+        self._length, self._chunked, self._headed, self._until_end = None, False, False, False
         self._status, self._never_ran, self._reports = 0, False, []
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -168,6 +169,8 @@
             self._length = value
         elif low == b"transfer-encoding":
             self._chunked = value.lower() == b"chunked"
+            if not self._chunked:
+                raise ValueError("a transfer coding that is not read here")
         elif low == b"x-not-processed":
             self._never_ran = value == b"1"
         elif low == b"x-server-load":
@@ -183,10 +186,9 @@
         if self._chunked:
             return
         if self._length is None:
-            # It would last until the connection ends, and nothing would tell whether it is whole.
-            if self._status == 200:
-                raise ValueError("an answer without a length")
-            self._whole, self._extra = True, True
+            # It lasts until the connection ends. Nobody is sent the body of one that is not served.
+            self._until_end = self._status == 200
+            self._whole, self._extra = not self._until_end, True
         elif int(self._length) > MOST_BYTES:
             raise ValueError("the answer is too large")
 
@@ -228,6 +230,10 @@
             exchange.end(outcome)
 
     def eof_received(self) -> bool:
+        """An orderly end. It makes an answer with no length whole; a reset, which is told of by
+        `connection_lost` alone, does not."""
+        if self._exchange is not None and self._until_end:
+            self._answered()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import select
 import socket
@@ -36,6 +37,10 @@
 ACCEPT_MOST = 16  # connections taken at once, before what they have to say is read
 ACCEPT_S = 0.005  # wait for room to take more
 BACKLOG = 1024
+NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE})  # errors of accept for which others give way
+# Which connections give way first. Those in use never do.
+RANK_ENDED, RANK_NEVER_ASKED, RANK_IDLE, RANK_HALF_READ = range(4)
+CLOSED_FIRST = (RANK_ENDED, RANK_NEVER_ASKED, RANK_IDLE)
 
 REASONS = {
     200: "OK",
@@ -144,28 +149,34 @@
         self._queue.append(bad)
 
     def look(self, now: float) -> None:
-        """Nothing that is owed to us is waited for for ever."""
+        """Nothing that is owed to us is waited for for ever. What lies unread is looked at first: the gateway
+        may have been held up."""
         age = now - self.since
         stuck = self._full or self.transport.is_closing()
         if self.ended and age >= LINGER_S or stuck and age >= STUCK_S:
             self.transport.abort()
-        elif not self.spoke and age >= BOUND_S:
+        elif not self.spoke and age >= BOUND_S and not self.unread():
             self.transport.close()
-        elif self._reading is not None and not self._deaf and age >= BOUND_S:
+        elif self._reading is not None and not self._deaf and age >= BOUND_S and not self.unread():
             self._refuse_to_read(Bad(408, "the request did not come whole"))
             self._next()
 
     def rank(self, now: float) -> int | None:
-        """Who goes first where there are too many connections; none where it has to stay."""
+        """Who goes first where there are too many connections, by the lowest; none where it has to stay."""
         if self.ended:
-            return 0
+            return RANK_ENDED
         if self._current is not None or self._queue:
             return None
         if not self.asked:
-            return 1 if now - self.since >= SPEAK_S else None
+            return RANK_NEVER_ASKED if now - self.since >= SPEAK_S else None
         if self._reading is not None:
-            return 3
-        return 2 if now - self.since >= IDLE_S else None
+            return RANK_HALF_READ
+        return RANK_IDLE if now - self.since >= IDLE_S else None
+
+    def turn_away(self) -> None:
+        """Answer the request that is half read: there is no room for its connection."""
+        self._refuse_to_read(Bad(503, "too many connections"))
+        self._next()
 
     def on_message_begin(self) -> None:
         if len(self._queue) >= QUEUE_MOST or self._ahead > AHEAD_MOST:
@@ -301,16 +312,17 @@
         for _ in range(ACCEPT_MOST):
             more = len(self._open) + len(self._opening) + 1 - self._room
             # Some ahead, as each look costs.
-            made = self._close(more + ACCEPT_MOST, (0, 1, 2, 3)) if more > 0 else 0
+            made = self._make_room(more + ACCEPT_MOST) if more > 0 else 0
             if more > self._most - self._room and not made:
                 self._wait_for_room()
                 return
             try:
                 if not self._take_in():
                     return
-            except OSError as error:  # no descriptor left: the loop would try it again and again
+            except OSError as error:  # the loop would try it again and again
                 seldom.warning("no connection can be taken: %s", error)
-                self._close(ACCEPT_MOST, (0, 1, 2, 3))  # others need some as well
+                if error.errno in NO_DESCRIPTOR:
+                    self._make_room(ACCEPT_MOST)  # others need some as well
                 self._wait_for_room()
                 return
 
@@ -344,19 +356,32 @@
         self._open[client] = None
         client.since = self.loop.time()
 
+    def _make_room(self, count: int) -> int:
+        """End so many connections, as far as there are any that may give way; half a request is turned away
+        only where no other may."""
+        return self._close(count, CLOSED_FIRST) or self._close(count, (RANK_HALF_READ,))
+
     def _close(self, count: int, ranks: tuple[int, ...]) -> int:
-        """Descriptors are bounded: those give way that ended or never asked for anything, then
-        what stood idle longest, then half a request."""
+        """Descriptors are bounded: those give way that ended or never asked for anything, then what stood
+        idle longest. None is closed while a request lies unread; half a request is answered first."""
         if count <= 0:
             return 0
-        now = self.loop.time()
-        found = [(rank, client.since, client) for client in self._open if (rank := client.rank(now)) in ranks]
-        going = sorted(found, key=lambda entry: entry[:2])[:count]
-        for rank, _, client in going:
-            unread = client.transport.get_write_buffer_size() > 0  # an orderly end would wait for it
-            (client.transport.abort if rank == 0 or unread else client.transport.close)()
-            self.closed(client)
-        return len(going)
+        now, made = self.loop.time(), 0
+        ranked = [(client.rank(now), client) for client in self._open]
+        found = [(rank, client.since, client) for rank, client in ranked if rank in ranks]
+        for rank, _, client in sorted(found, key=lambda entry: entry[:2]):
+            if rank != RANK_ENDED and client.unread():
+                continue
+            if rank == RANK_HALF_READ:
+                client.turn_away()
+            else:
+                unwritten = client.transport.get_write_buffer_size() > 0  # an orderly end would wait for it
+                (client.transport.abort if rank == RANK_ENDED or unwritten else client.transport.close)()
+                self.closed(client)
+            made += 1
+            if made == count:
+                break
+        return made
 
     def short(self) -> bool:
         """Connections whose client has asked once end with the answer: many such would hold all there are."""
@@ -366,7 +391,7 @@
         now = self.loop.time()
         for client in list(self._open):
             client.look(now)
-        self._close(len(self._open) - self._easy, (2,))
+        self._close(len(self._open) - self._easy, (RANK_IDLE,))
         if self.draining:
             self._close_idle()
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -77,6 +77,7 @@
     "two framings": says(LENGTH % b"4\r\nTransfer-Encoding: chunked"),
     "no length": says(b"HTTP/1.1 200 OK\r\n\r\nbeds"),
     "no length and too large": until_end(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 70000),
+    "another coding, and an end": until_end(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbeds"),
     "a chunk that is none": says(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbeds\r\n"),
     "chunks without end": says(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%b\r\n" % (b"x" * 1024), 1000
