--- a/scale/standins.py
+++ b/scale/standins.py
@@ -243,9 +243,15 @@
         *whole, self._rest = (self._rest + data).split(b"\r\n\r\n")  # requests have no body
         if whole:
             self._backends.requests += len(whole)
+            counts = self._backends.counts
+            counts[self.number] = counts.get(self.number, 0) + len(whole)
             self._backends.reached[self.number] = time.monotonic()
             self._backends.latest = self.number
-            self.transport.write(ANSWER * len(whole))
+            answer = ANSWER * len(whole)
+            if self._backends.work_s:
+                asyncio.get_running_loop().call_later(self._backends.work_s, self.transport.write, answer)
+            else:
+                self.transport.write(answer)
 
     def connection_lost(self, error: Exception | None) -> None:
         at = self._backends
@@ -258,11 +264,14 @@
 
 
 class Backends:
-    """Every backend of any list, behind one listener: any address of 127.0.0.0/8 at one port."""
+    """Every backend of any list, behind one listener: any address of 127.0.0.0/8 at one port. Each answers
+    after `work_s` seconds, however many requests it has."""
 
-    def __init__(self) -> None:
+    def __init__(self, work_s: float = 0.0) -> None:
+        self.work_s = work_s
         self.accepted, self.requests, self.port = 0, 0, 0
         self.latest = -1  # the backend that a request reached last
+        self.counts: dict[int, int] = {}  # requests by backend
         self.reached: dict[int, float] = {}  # when a request last reached a backend
         self.ended: dict[int, float] = {}  # when a connection to it last ended
         self.open: dict[int, set[Served]] = {}  # its connections
--- /dev/null
+++ b/tests/sites.py
@@ -0,0 +1,111 @@
+"""Real gateways that share a counter, among stand-ins on loopback, each with a wall clock of its own.
+
+A gateway's wall clock is off from its start, as after a step and a restart; its monotonic clock runs on.
+"""
+
+import asyncio
+import contextlib
+import tempfile
+from pathlib import Path
+
+from world import run
+
+from scale.client import Client, Connections, request
+from scale.program import SETTINGS, Program
+from scale.standins import Agent, Backends, Counter, Roster
+
+STEPPED = "import time\nwall = time.time\ntime.time = lambda: wall() + {}\n"
+RATE, DEPTH = 0.2, 20.0  # units a second, and at once
+PLANS = {
+    "quota": {"name": "quota", "unitsPerS": RATE, "depth": DEPTH},
+    "ceiling": {
+        "name": "ceiling",
+        "unitsPerS": RATE,
+        "depth": DEPTH,
+        "hardRate": 0.24,
+        "ceilingBurst": 24.0,
+        "tolerance": 2.4,
+    },
+}
+READY_S = 30.0
+RATE_PER_S = 300.0
+WORK_S = 0.02  # of a request: so several are out at once, and all backends get some
+WARM = 6  # backends that have been up for long; the next one starts
+
+
+class BusyCounter(Counter):
+    """Turns each call away while it is `busy`."""
+
+    busy = False
+
+    def answer(self, line):
+        return b"busy\r\n" if self.busy else super().answer(line)
+
+
+class Site:
+    """Stand-ins, and gateways by number, each with a wall clock of its own."""
+
+    def __init__(self, stack, home):
+        self.stack, self.home = stack, home
+        self.programs, self.agents = {}, {}
+
+    async def start(self, backends):
+        self.backends, self.counter = await Backends(WORK_S).start(), await BusyCounter().start()
+        self.stack.callback(self.backends.close)
+        self.stack.callback(self.counter.close)
+        self.roster = Roster(backends, self.backends.port)
+
+    async def gateway(self, me, step_s=0.0, **obligations):
+        if me in self.programs:
+            await self.programs[me].end()
+        if me not in self.agents:
+            self.agents[me] = await Agent(self.roster).start()
+            self.stack.callback(self.agents[me].close)
+        settings = {**SETTINGS, "me": me, "instances": 2, "plans": [{"name": "free"}, *PLANS.values()]}
+        settings["obligations"] = {**SETTINGS["obligations"], **obligations}
+        program = Program(
+            self.home,
+            settings,
+            self.agents[me].port,
+            self.counter.port,
+            self.roster.whole(),
+            patch=STEPPED.format(step_s),
+            host=f"127.0.0.{2 + me}",
+        )
+        await program.start()
+        self.stack.push_async_callback(program.end)
+        assert await program.ready(READY_S) is not None
+        self.programs[me] = program
+
+    async def served(self, plan, each, gateways=(0, 1), customer=1):
+        """So many requests of one customer through each gateway; how many were served."""
+        served, out = 0, asyncio.Queue()
+        connections = [Connections(self.programs[me].address) for me in gateways]
+        for _ in range(each):
+            for connection in connections:
+                connection.ask(request(customer, plan, spread=2), lambda status, _: out.put_nowait(status))
+            await asyncio.sleep(0.02)
+        for _ in range(each * len(connections)):
+            served += await asyncio.wait_for(out.get(), READY_S) == 200
+        for connection in connections:
+            connection.close()
+        return served
+
+    async def share(self, me, number, seconds):
+        """Of requests without a quota: what this backend gets, beside the mean of the others."""
+        before = dict(self.backends.counts)
+        await Client(self.programs[me].address).scheduled(RATE_PER_S, seconds)
+        got = {n: count - before.get(n, 0) for n, count in self.backends.counts.items()}
+        own = got.pop(number, 0)
+        return own / (sum(got.values()) / WARM)
+
+
+def played(scene, backends=WARM):
+    async def play():
+        with tempfile.TemporaryDirectory() as home:
+            async with contextlib.AsyncExitStack() as stack:
+                site = Site(stack, Path(home))
+                await site.start(backends)
+                await scene(site)
+
+    run(play)
