Number the windows of counts by a time that gateways agree on over the counter

Cause: Bucket.clock took windows from the Unix time that the process read at its start, so a gateway whose wall clock was stepped kept windows of its own and each customer had two stores. A second one, found by a log of all counter calls at the end of a window: whoever opens a window kept its whole lease before it had heard how the window before ended, so 25 requests that waited there got 20 units beside the 20 just used (41 of 26.4 allowed).

Change: cobaltline/fleet_clock.py keeps a stamp on the counter; its docstring has what is known, what is done when it is gone, and what it costs. A gateway that does not know its window counts nothing. An opener waits for the end of the window before where a ceiling or more than a request is at stake, and gives a lease under a ceiling back where that can't be read.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -10,8 +10,10 @@
 
 from . import interface as io
 from .fleet import Fleet
+from .fleet_clock import NAME as FLEET_TIME_NAME
+from .fleet_clock import NAME_LIFE_MS, NEEDED_WAIT_MS, FleetClock, FleetTime
 from .interface import NEVER_RAN, BackendState, Outcome, Repeat
-from .quota import MILLI, NAME_LIFE_MS, TRUST_SHARE, Bucket
+from .quota import MILLI, NO_WINDOW, TRUST_SHARE, Bucket
 
 # Tuned values: unit, and why.
 DIRECT_GAIN = 0.002  # a good counter call adds so much to the share of borrows that go to the counter at once
@@ -33,6 +35,7 @@
 UNCOUNTED_MOST = 8  # requests let in on trust before a call counts them
 COST_WEIGHT = 0.02  # of one request in the mean cost, and of one borrow in the share that was found short
 RTO_DEVS = 4.0  # deviations above the mean latency before an answer is missed (as TCP does)
+OPENING_TRIES = 3  # calls that ask how a window ended before what waits for that is given up
 HEDGE_SHARE = 0.1  # further attempts a request may cost on average
 HEDGE_BURST = 10.0  # and at once
 AVOID_TIMES = 8.0  # a backend without service counts as slow as this many aims at most; each failure doubles
@@ -53,6 +56,7 @@
 MEMORY_MS = 2000.0  # time over which answers are averaged where few come; each weighs 0.05 at least
 FLEET_STEP = 0.1  # how far the limit on own attempts out moves at most in one mean latency
 STALL_MS = 100.0  # an alarm later than this shows that the gateway itself stood still
+CLOCK_SEED = 0x5BD1E995  # draws of the fleet's clock change no others
 IDLE_MS = 10000.0  # customers unseen this long are dropped
 KEEP_MS = 120000.0  # but those whose store was well filled: a gateway of a large set sees one seldom
 RESUBSCRIBE_MS = 2500.0  # after a failed call for lists, at most: a change counts as told 6 s after its time
@@ -139,6 +143,11 @@
 class Gateway:
     def __init__(self, settings: io.Settings, seed: int):
         self.s, self.rng = settings, random.Random(seed)
+        self.fleet_time = FleetTime(known=not settings.agree_on_time)
+        clock_random = random.Random(seed ^ CLOCK_SEED)
+        self.fleet_clock = FleetClock(self.fleet_time, settings.gateways, clock_random)
+        self.read_planned = False  # an alarm is set for it
+        self.need_time: list[Bucket] = []  # with requests that wait until the fleet's time is known
         self.buckets: dict[tuple[str, str], Bucket] = {}
         self.requests: dict[str, Request] = {}
         self.flights: dict[tuple[str, int], tuple[Attempt, Request]] = {}
@@ -222,7 +231,9 @@
     def bucket(self, now: float, plan: io.Plan, customer: str, first: int, spread: int) -> Bucket:
         b = self.buckets.get((plan.name, customer))
         if b is None:
-            b = self.buckets[plan.name, customer] = Bucket(customer, plan, first, spread, self.s, now)
+            b = self.buckets[plan.name, customer] = Bucket(
+                customer, plan, first, spread, self.s, now, self.fleet_time
+            )
         b.touched = now
         return b
 
@@ -239,7 +250,8 @@
             b.owed += req.cost
             b.uncounted += 1
             self.granted(now, req)
-            if not b.pending and (b.quick or not self.trusted(b, req.cost)):  # the next one has not to wait
+            counts = b.quick or not self.trusted(b, req.cost)  # the next one has not to wait
+            if counts and not b.pending and b.sure_of_window(now):
                 self.borrow(now, b)
         elif b.pending:
             b.waiting.append(req)
@@ -301,6 +313,9 @@
         """One source for all that waits here. Home is asked where calls to the counter fail, as it borrows
         for the whole set. Guards against a counter that is down, slow or crowded by many gateways; costs two
         short messages a borrow, and a wait where home stands still."""
+        if not b.sure_of_window(now):
+            self.await_time(now, b)
+            return
         up = (h for h in b.homes if h == self.s.me or self.away.get(h, 0.0) <= now)  # asks end here
         home = self.s.me if any(isinstance(x, Ask) for x in b.waiting) else next(up, self.s.me)
         counter = self.s.counter and now >= self.call_at + self.turn(b) and not b.tried & 1
@@ -317,6 +332,56 @@
         else:
             self.recheck(now, b, True)
 
+    # The time that all gateways agree on: without it, nothing is counted.
+
+    def await_time(self, now: float, b: Bucket) -> None:
+        """What waits here waits on while the counter is asked for the time; else the local share decides."""
+        self.read_time(now, needed=True)
+        if self.fleet_clock.deciding(now):
+            b.pending = 1
+            self.need_time.append(b)
+        else:
+            self.recheck(now, b, True)
+
+    def read_time(self, now: float, needed: bool = False) -> None:
+        call = self.fleet_clock.read(now, needed)
+        if call is not None:
+            self.acts.append(call)
+
+    def plan_read(self) -> None:
+        if not self.read_planned:
+            self.read_planned = True
+            self.at(self.fleet_clock.next_at, self.planned_read, None)
+
+    def planned_read(self, now: float, _arg) -> None:
+        self.read_planned = False
+        self.read_time(now)
+        if not self.fleet_clock.reading():
+            self.plan_read()  # one that was needed has put it off
+
+    def on_time(self, now: float, e: io.CountResult) -> None:
+        call = self.fleet_clock.answered(now, e)
+        if call is not None:
+            self.acts.append(call)
+            return
+        self.plan_read()
+        waiting, self.need_time = self.need_time, []
+        for b in waiting:
+            if b.sure_of_window(now):
+                b.pending = 0
+                self.refill(now, b)
+            elif self.fleet_clock.deciding(now):
+                self.need_time.append(b)
+            else:
+                b.pending = 0
+                self.recheck(now, b, True)
+        if self.need_time:
+            self.at(now + NEEDED_WAIT_MS, self.read_needed_time, None)
+
+    def read_needed_time(self, now: float, _arg) -> None:
+        if self.need_time:
+            self.read_time(now, needed=True)
+
     def turn(self, b: Bucket) -> float:
         """How much sooner or later than the next call what waits here gets its own: with calls scarce, those
         for large requests tell of more units, of worth and of quota."""
@@ -325,7 +390,7 @@
         return self.gap * (min(CALL_SIZES, self.mean_cost / max(1, most)) - 1.0)
 
     def tell(self, now: float, peer: int, kind: int, nonce: int, amount: int, wait=0.0, text="") -> None:
-        body = WIRE.pack(VERSION, kind, nonce, min(amount, CLOCK), int(wait), int(now) & CLOCK)
+        body = WIRE.pack(VERSION, kind, nonce, min(amount, CLOCK), int(wait), self.message_clock(now))
         body += text.encode()
         if len(body) <= 252:
             self.acts.append(io.Tell(body + zlib.crc32(body).to_bytes(4), peer))
@@ -338,7 +403,7 @@
             return
         _, kind, nonce, amount, wait, clock = WIRE.unpack_from(body)
         self.away.pop(e.sender, None)
-        if kind == ASK and (int(now) - clock) & CLOCK < self.ask_ms / 2:
+        if kind == ASK and (self.message_clock(now) - clock) & CLOCK < self.ask_ms / 2:
             parts = body[WIRE.size :].decode(errors="replace").split(" ", 3)
             if len(parts) == 4 and parts[2] in self.s.plans and (parts[0] + parts[1]).isdecimal():
                 b = self.bucket(now, self.s.plans[parts[2]], parts[3], int(parts[0]), int(parts[1]))
@@ -354,6 +419,10 @@
                 b.lend(now, min(amount, b.want(1.0)))
             self.recheck(now, b, False)
 
+    def message_clock(self, now: float) -> int:
+        """When a message is sent, as it tells it: receivers pass over what was long on its way."""
+        return int(now + self.fleet_time.offset_ms) & CLOCK
+
     def missed(self, now: float, nonce: int) -> None:
         """Twice no answer: passed over for a while, as it may be stopped, standing still or cut off."""
         if nonce in self.asked:
@@ -377,6 +446,9 @@
         self.call(b, "lease", b.win, b.lease + b.report())
 
     def on_count(self, now: float, e: io.CountResult) -> None:
+        if e.name == FLEET_TIME_NAME:
+            self.on_time(now, e)
+            return
         line = self.calls.get(e.name)
         if not line:
             return
@@ -418,30 +490,66 @@
 
     def counted(self, now: float, b: Bucket, kind: str, win: int, good: bool, total: int) -> None:
         b.roll(now)
-        if kind == "prev" and good and win == b.win - 1:
-            self.put_right(b, b.carry(total))
+        if kind == "prev":
+            self.window_before(now, b, win, total if good else None)
         elif kind == "lease":
             b.pending = 0
-            if good and win == b.win:
-                self.settle(now, b, total)
+            if good and win == b.win and self.settle(now, b, total):
+                return
             if not good and b.waiting:
                 self.refill(now, b)
             else:
                 self.recheck(now, b, False)
 
+    def window_before(self, now: float, b: Bucket, win: int, total: int | None) -> None:
+        """How the window before ended has come, or failed to. Not known, it says nothing against what was
+        taken from a quota; under a ceiling the lease goes back, and whoever comes next opens the window."""
+        here = win == b.window_before()
+        at_stake = b.opening is not None and b.plan.ceiling_rate > 0
+        if here and total is None and at_stake and b.opening_tries < OPENING_TRIES:
+            b.opening_tries += 1
+            self.call(b, "prev", win, 0)
+            return
+        amount = b.carry(total) if here and total is not None else 0
+        opening, b.opening = b.opening, None
+        if opening is None:
+            self.put_right(b, amount)
+            return
+        b.pending = 0
+        given_back = here and total is None and b.plan.ceiling_rate > 0
+        if given_back:
+            b.opened = NO_WINDOW
+            self.put_right(b, opening - b.lease)
+        elif here:
+            self.keep_lease(now, b, opening + amount)
+        self.recheck(now, b, given_back)
+
     def put_right(self, b: Bucket, amount: int) -> None:
         """Add to the count, or take off, where it has come away from the store."""
         if amount:
             self.call(b, "back", b.win, amount)
             b.added += amount
 
-    def settle(self, now: float, b: Bucket, total: int) -> None:
-        """The borrow has answered: keep what fits, return the excess."""
-        need, trusted = b.waiting[0].cost if b.waiting else 0, b.filled
+    def settle(self, now: float, b: Bucket, total: int) -> bool:
+        """The borrow has answered: keep what fits, return the excess. Whoever opens a window has to hear how
+        the one before ended: whether what waits here waits for that, which it does where more than a request
+        of a quota is at stake."""
+        trusted = b.filled
         opens, amount = b.take_in(now, total)
-        keep = max(0, min(b.lease, int(b.level)))
         if trusted:
             self.doubt += COST_WEIGHT * ((b.level < 0) - self.doubt)
+        if opens:
+            self.call(b, "prev", b.window_before(), 0)
+        if opens and (b.plan.ceiling_rate > 0 or len(b.waiting) > 1):
+            b.pending, b.opening, b.opening_tries = 1, amount, 1
+            return True
+        self.keep_lease(now, b, amount)
+        return False
+
+    def keep_lease(self, now: float, b: Bucket, amount: int) -> None:
+        """Keep what the store holds of the lease. `amount` puts the count right beside that."""
+        need = b.waiting[0].cost if b.waiting else 0
+        keep = max(0, min(b.lease, int(b.level)))
         if b.thin and need:
             self.short += COST_WEIGHT * ((keep < need) - self.short)
         if keep < need:  # not even one request fits: try again when the store has refilled that far
@@ -456,8 +564,6 @@
             b.owed -= b.lease - keep
         else:
             amount -= b.lease - keep
-        if opens:
-            self.call(b, "prev", b.win - 1, 0)
         self.put_right(b, amount)
 
     def recheck(self, now: float, b: Bucket, failed: bool) -> None:
@@ -476,6 +582,8 @@
             self.fleet.keep(entry.id for entry in e.backends)
         if self.limit <= 0:  # the first list
             self.at(now + IDLE_MS, self.sweep, None)
+            if not self.fleet_time.known:
+                self.read_time(now)
             if self.s.must_ask:
                 self.subscribe(now, None)
             self.limit = min(self.s.most_out, FLEET_FIRST * len(e.backends) / max(1, self.s.gateways))
--- a/cobaltline/interface.py
+++ b/cobaltline/interface.py
@@ -5,8 +5,8 @@
 
 For somebody putting it into a gateway of another kind:
 
-* `now_ms` comes from the host, never goes backwards, and must be in step between the gateways of one
-  deployment (a few milliseconds): window names on the counter are made from it.
+* `now_ms` comes from the host and never goes backwards. Window names on the counter are made from it: it is
+  in step between the gateways of one deployment (a few milliseconds), or `Settings.agree_on_time` is set.
 * One `Gateway` for each process; instances share nothing.
 * `BackendsChanged` comes first, with the last list known. Each `Send` later gets exactly one
   `AttemptEnded`, each `Count` exactly one `CountResult`, each `Probe` one `ProbeResult`, each `SetTimer`
@@ -102,6 +102,7 @@
     must_ask: bool = False  # the list of backends comes only when asked for
     ask_every_ms: float = 10000.0
     counter: bool = False
+    agree_on_time: bool = False  # clocks are not in step: the gateways agree on a time over the counter
     counter_wait_ms: float = 50.0
     counter_price: float = 0.0
     settles: bool = False  # a request's true units come with its answer
--- a/cobaltline/quota.py
+++ b/cobaltline/quota.py
@@ -1,6 +1,7 @@
 """A customer's token bucket as one gateway has it: borrowing from the shared count that follows demand.
 
-**What it knows.** All gateways keep one number for each customer and window of the clock on the counter: the
+**What it knows.** All gateways keep one number for each customer and window of the fleet's time
+(`cobaltline/fleet_clock.py`) on the counter: the
 units drawn since the window began. A window is many times as long as the customer's store takes to fill, and
 its budget fills as the window goes, so the store's level can be read off one total: what a full store and the
 refill since the window's start come to, less the total. Two things bring that away from the true store, and
@@ -31,10 +32,10 @@
 from collections import deque
 
 from . import interface as io
+from .fleet_clock import WINDOW_MS, WINDOWS, FleetTime
 
 MILLI = 1000  # milli-tokens a unit; the paper charges 1000 a request
-NAME_LIFE_MS = 60000.0  # the longest a counter name lives
-WINDOW_MS = NAME_LIFE_MS / 2.5  # of the shared count: the one before is still there all through the next
+NO_WINDOW = -1  # is the number of none
 LEASE_SHARE = 0.06  # of last use that a lease adds: calls are cheap beside stranded tokens
 FILLED_SHARE = 0.5  # of its store: a customer that has so much left is let in before it is counted
 TRUST_SHARE = 0.7  # of a gateway's part of what was left: so much it lets in before it counts it
@@ -51,8 +52,18 @@
 class Bucket:
     """One customer here: leased milli-tokens, the borrow in flight, and what the shared count showed."""
 
-    def __init__(self, key: str, plan: io.Plan, first: int, spread: int, s: io.Settings, now: float):
+    def __init__(
+        self,
+        key: str,
+        plan: io.Plan,
+        first: int,
+        spread: int,
+        s: io.Settings,
+        now: float,
+        fleet_time: FleetTime,
+    ):
         self.key, self.plan, self.first = key, plan, first
+        self.fleet_time = fleet_time
         self.spread = spread = max(1, min(spread, s.gateways))
         rank = (s.me - first) % max(1, s.gateways)
         # Homes, the same at each gateway, lend to the set: who sees all of a customer's use needs few calls.
@@ -68,7 +79,9 @@
         self.fill_ms = self.cap / self.rate if self.rate > 0 else 1000.0  # in which an empty store fills
         # Windows of unlike customers end at unlike moments: each brings calls that read the one before.
         self.shift_ms = float(int.from_bytes(digest[-4:]) % int(WINDOW_MS))
-        self.win, self.opened = int(self.clock(now)[0]), -1  # the window; the last one a count was seen of
+        self.opening_tries = 0  # calls that asked how the window before ended
+        self.opening: int | None = None  # puts the count right, once it is known how the window before ended
+        self.win, self.opened = self.clock(now)[0], NO_WINDOW  # the window; the last one a count was seen of
         # What this gateway has in the count of this window; let in and not counted yet; lapsed, not returned.
         self.added = self.owed = self.left = 0
         self.tokens, self.lent_at, self.lease = 0, now, 0
@@ -101,9 +114,16 @@
         self.spare_most, self.spare, self.spare_at = extra * MILLI * part, 0.0, now
         self.touched = now
 
-    def clock(self, now: float) -> tuple[float, float]:
+    def clock(self, now: float) -> tuple[int, float]:
         """The number of the customer's window, and the time in ms since that began."""
-        return divmod(now + self.shift_ms, WINDOW_MS)
+        return self.fleet_time.window(now, self.shift_ms)
+
+    def sure_of_window(self, now: float) -> bool:
+        return self.fleet_time.sure(now, self.shift_ms)
+
+    def window_before(self) -> int:
+        """The number of the window before this one; they are numbered round."""
+        return (self.win - 1) % WINDOWS
 
     def visit(self, now: float) -> None:
         """A request has come: how quickly, beside the mean of late."""
@@ -122,7 +142,7 @@
         if self.tokens > 0 and now - self.lent_at > self.fill_ms:
             self.left += self.tokens
             self.tokens = 0
-        win = int(self.clock(now)[0])
+        win = self.clock(now)[0]
         if win != self.win:
             self.win, self.added, self.left = win, 0, 0
 
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -38,7 +38,8 @@
 
 
 class Clock:
-    """Unix time in ms, carried by the monotonic clock: in step between machines, never backwards."""
+    """Unix time in ms as it was at the start, carried by the monotonic clock: never goes backwards. It is out
+    of step with other machines where a wall clock was stepped."""
 
     def __init__(self, system: System = REAL) -> None:
         self._monotonic = system.monotonic
@@ -84,7 +85,9 @@
         left = config.sockets - OWN_SOCKETS
         connections = int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART))  # to backends
         # The module chooses who waits where there are fewer connections than it would send requests.
-        settings = dataclasses.replace(config.settings, most_out=float(connections))
+        settings = dataclasses.replace(
+            config.settings, most_out=float(connections), agree_on_time=config.counter is not None
+        )
         self._module = Gateway(settings, config.seed)
         self._requests: dict[str, Held] = {}
         self._names: set[bytes] = set()  # what their clients call them
