Date the starts of backends by the gateway's own clock, and take any other stamp for a start

Cause: Server.warmth compared startedAtMs with the gateway's own Unix time, and Gateway.on_backends took a stamp for another process only where it was later than the one before.

Change: cobaltline/slow_start.py. A start that is told while the gateway runs is no older than discovery tells late (10 s) and than discovery was silent before; a stamp that says otherwise is not believed. From then on the gateway's own clock counts. Of what is on the list at the start, the last few are as young as the list allows. A backend that comes back with the stamp that it had is no other process. Server has a file of its own.

--- a/cobaltline/brain.py
+++ b/cobaltline/brain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 import struct
 import zlib
@@ -14,6 +15,8 @@
 from .fleet_clock import NAME_LIFE_MS, NEEDED_WAIT_MS, FleetClock, FleetTime
 from .interface import NEVER_RAN, BackendState, Outcome, Repeat
 from .quota import MILLI, NO_WINDOW, TRUST_SHARE, Bucket
+from .server import Server
+from .slow_start import LATE_MS, StartDates
 
 # Tuned values: unit, and why.
 DIRECT_GAIN = 0.002  # a good counter call adds so much to the share of borrows that go to the counter at once
@@ -40,7 +43,6 @@
 HEDGE_BURST = 10.0  # and at once
 AVOID_TIMES = 8.0  # a backend without service counts as slow as this many aims at most; each failure doubles
 TRIAL_LOAD = 4.0  # attempts at a backend whose last one failed count so much: few at a time until one is well
-AVOID_HALF_MS = 4000.0  # half of what a backend was slower or faster than the mean is forgotten in this time
 SPOILT_MOST = 3  # answers spoilt or broken off in a row that say nothing against a backend
 CROSS_MALUS = 1.15  # a backend across zones counts as so much slower, where crossing has a price
 SAMPLE = 24  # backends all weighed for a choice; where there are more, own attempts tell too little of each
@@ -94,59 +96,14 @@
         return anywhere or self.cls.repeat is Repeat.SAFE or self.anchor() is None
 
 
-class Server:
-    __slots__ = (
-        "id",
-        "zone",
-        "cell",
-        "weight",
-        "usable",
-        "place",
-        "out",
-        "latency",
-        "latency_at",
-        "heard",
-        "failed",
-        "started",
-        "spoilt",
-        "cold_tokens",
-        "cold_at",
-    )
-
-    def __init__(self, entry: io.Backend, now: float, turn: float):
-        self.id, self.usable = entry.id, False
-        self.out: dict[tuple[str, int], float] = {}  # attempts out, by time sent
-        self.latency = self.latency_at = self.heard = 0.0
-        self.failed, self.started = False, entry.started_ms
-        self.spoilt = 0  # answers spoilt or broken off since the last good one
-        # Part of a turn, drawn at random: one at once from each of many gateways would push it over.
-        self.cold_tokens, self.cold_at = turn, now
-
-    def update(self, entry: io.Backend) -> None:
-        self.zone, self.cell, self.weight = entry.zone, entry.cell, max(entry.weight, 1e-3)
-
-    def warmth(self, now: float, s: io.Settings) -> float:
-        if self.started <= 0 or s.cold_ms <= 0 or now >= self.started + s.cold_ms:
-            return 1.0
-        return s.cold_from + (1.0 - s.cold_from) * max(0.0, now - self.started) / s.cold_ms
-
-    def expected(self, now: float, mean: float) -> float:
-        """The latency to expect: what was seen here, fading into the mean of all backends."""
-        latency = mean
-        if self.latency:
-            latency += (self.latency - mean) * 0.5 ** ((now - self.latency_at) / AVOID_HALF_MS)
-        if self.out:
-            return max(latency, now - max(self.heard, next(iter(self.out.values()))))
-        return latency
-
-
 class Gateway:
     def __init__(self, settings: io.Settings, seed: int):
         self.s, self.rng = settings, random.Random(seed)
-        self.fleet_time = FleetTime(known=not settings.agree_on_time)
+        self.fleet_time = FleetTime(known=settings.clocks_in_step or not settings.counter)
         clock_random = random.Random(seed ^ CLOCK_SEED)
         self.fleet_clock = FleetClock(self.fleet_time, settings.gateways, clock_random)
         self.read_planned = False  # an alarm is set for it
+        self.starts = StartDates(settings, self.fleet_time)
         self.need_time: list[Bucket] = []  # with requests that wait until the fleet's time is known
         self.buckets: dict[tuple[str, str], Bucket] = {}
         self.requests: dict[str, Request] = {}
@@ -154,6 +111,7 @@
         self.fleet = Fleet()
         self.servers: dict[str, Server] = self.fleet.all
         self.usable: list[Server] = self.fleet.usable
+        self.remembered = False  # the first list held any
         self.capacity = 1.0  # the mean present capacity of the usable ones, as a part of the heaviest
         self.known = 0.0  # how many were usable, as a running mean over requests
         self.calls: dict[str, deque] = {}
@@ -365,6 +323,7 @@
             self.acts.append(call)
             return
         self.plan_read()
+        self.starts.time_moved(self.servers.values())
         waiting, self.need_time = self.need_time, []
         for b in waiting:
             if b.sure_of_window(now):
@@ -581,6 +540,9 @@
         if e.kind is not io.ListKind.CHANGES:
             self.fleet.keep(entry.id for entry in e.backends)
         if self.limit <= 0:  # the first list
+            self.remembered = bool(e.backends)
+            if not self.s.clocks_in_step:
+                self.starts.begin(e.backends)
             self.at(now + IDLE_MS, self.sweep, None)
             if not self.fleet_time.known:
                 self.read_time(now)
@@ -591,8 +553,11 @@
             server = self.servers.get(entry.id)
             if server is not None:
                 self.fleet.retire(server)
-            if server is None or entry.started_ms > server.started:  # another process: nothing is known of it
+            if (
+                server is None or entry.started_ms != server.started
+            ):  # another process: nothing is known of it
                 server = Server(entry, now, self.rng.random())
+                self.starts.learn(server, now, self.most_age_ms(e))
             server.update(entry)
             (self.fleet.enlist if entry.state is BackendState.UP else self.fleet.retire)(server)
         if e.kind is io.ListKind.CHANGES and self.send_rate <= 0.0:  # the first list may come in parts
@@ -602,6 +567,11 @@
             self.known = len(self.usable)
         self.pump(now)
 
+    def most_age_ms(self, e: io.BackendsChanged) -> float:
+        """How long ago what this list tells of for the first time can have started."""
+        at_start = e.kind is io.ListKind.REMEMBERED or not self.remembered and self.send_rate <= 0.0
+        return math.inf if at_start or self.s.clocks_in_step else LATE_MS + e.silent_ms
+
     def subscribe(self, now: float, _arg) -> None:
         self.acts.append(io.Subscribe())
 
@@ -635,7 +605,7 @@
         chance = len(self.usable) / max(self.capacity * len(self.usable), self.borne())
         for _ in range(SAMPLE):
             x = self.usable[int(self.rng.random() * len(self.usable))]
-            warmth = x.warmth(now, self.s)
+            warmth = self.starts.warmth(x, now)
             part = x.weight * warmth / self.fleet.heaviest
             self.capacity += CAPACITY_WEIGHT * (part - self.capacity)
             part /= TRIAL_LOAD if x.failed else 1.0
@@ -666,7 +636,7 @@
             if x.id in tried:
                 continue
             # What was drawn by its present capacity is not weighed by it once more.
-            warmth, weight = (1.0, 1.0) if large else (x.warmth(now, self.s), x.weight)
+            warmth, weight = (1.0, 1.0) if large else (self.starts.warmth(x, now), x.weight)
             if warmth < 1.0 and not self.warm(now, x, warmth):
                 continue
             # Told loads are old: all gateways would follow them to one backend.
@@ -869,5 +839,5 @@
             or b.waiting
             or b.gate
         }
-        self.fleet.sweep()
+        self.starts.forget(self.fleet.sweep())
         self.notes = {key: x for key, x in self.notes.items() if not key[1] or key[1] in self.servers}
--- a/cobaltline/fleet.py
+++ b/cobaltline/fleet.py
@@ -56,9 +56,12 @@
             self._scopes[kind, here] = [x for x in self.usable if getattr(x, kind) == here]
         return self._scopes[kind, here]
 
-    def sweep(self) -> None:
-        """Forget what left and has no attempt out."""
+    def sweep(self) -> list:
+        """Forget what left and has no attempt out; returns those."""
+        swept = []
         for x in [x for x in self._left.values() if not x.out]:
             del self._left[x.id]
             if self.all[x.id] is x:
                 del self.all[x.id]
+                swept.append(x)
+        return swept
--- a/cobaltline/interface.py
+++ b/cobaltline/interface.py
@@ -6,7 +6,7 @@
 For somebody putting it into a gateway of another kind:
 
 * `now_ms` comes from the host and never goes backwards. Window names on the counter are made from it: it is
-  in step between the gateways of one deployment (a few milliseconds), or `Settings.agree_on_time` is set.
+  in step between the gateways of one deployment (a few milliseconds), or `Settings.clocks_in_step` is false.
 * One `Gateway` for each process; instances share nothing.
 * `BackendsChanged` comes first, with the last list known. Each `Send` later gets exactly one
   `AttemptEnded`, each `Count` exactly one `CountResult`, each `Probe` one `ProbeResult`, each `SetTimer`
@@ -97,12 +97,12 @@
     gateways: int = 1
     zone: str = ""
     tick_ms: float = 1.0
+    clocks_in_step: bool = True  # all machines'; else the gateways agree on a time over the counter
     classes: dict[str, RequestClass] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
     must_ask: bool = False  # the list of backends comes only when asked for
     ask_every_ms: float = 10000.0
     counter: bool = False
-    agree_on_time: bool = False  # clocks are not in step: the gateways agree on a time over the counter
     counter_wait_ms: float = 50.0
     counter_price: float = 0.0
     settles: bool = False  # a request's true units come with its answer
@@ -202,6 +202,7 @@
     kind: ListKind
     version: int = 0
     backends: tuple[Backend, ...] = ()
+    silent_ms: float = 0.0  # for how long nothing had been heard of discovery before
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/cobaltline/slow_start.py
@@ -0,0 +1,99 @@
+"""When backends started, by a clock of this gateway's own: a young one is cold, and gets less.
+
+A list says when a backend last started, as Unix time. Wall clocks may be stepped, the gateway's own and those
+of the machines that backends run on, so such a stamp is believed only as far as nothing contradicts it.
+
+**What it knows.** A stamp that differs from the one before, earlier or later, is another process. What a
+gateway hears while it runs started no longer ago than discovery tells late, and than discovery was silent
+before: a stamp that says otherwise, or that lies ahead, is not believed, and the backend started just now.
+From then on the gateway's own clock counts, so nothing is cold for longer than the settings say.
+
+**What it can't know.** What was on the list at the gateway's start may be as old as its stamp says. The last
+ones to start are taken for as young as the list allows, as long as they are fewer than the others: these can
+bear the load meanwhile.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Protocol
+
+from . import interface as io
+from .fleet_clock import FleetTime
+
+LATE_MS = 10000.0  # discovery tells of a start no later than that
+MOVED_MS = 50.0  # by which the fleet's time has to move before starts are dated anew
+FORGOTTEN_MOST = 4096  # backends that left, of which the start is kept in mind
+
+
+class Dated(Protocol):
+    """What a backend needs to have: `started` as the list says it, in Unix ms; by the gateway's own clock,
+    when it was heard of, how old it can have been then, and when it started (minus infinity: long ago)."""
+
+    id: str
+    started: float
+    heard_at: float
+    most_age_ms: float
+    started_at: float
+
+
+class StartDates:
+    """Dates the starts of backends: `started_at`, in ms of this gateway's own clock."""
+
+    def __init__(self, settings: io.Settings, fleet_time: FleetTime):
+        self._cold_ms, self._cold_from = settings.cold_ms, settings.cold_from
+        self._fleet_time = fleet_time
+        self._offset_ms = fleet_time.offset_ms  # that starts were dated by
+        self._newest = 0.0  # stamp on the list at the gateway's start, where few are about as new
+        self._forgotten: dict[str, tuple[float, float]] = {}  # stamp and start of those that left
+
+    def begin(self, backends: Iterable[io.Backend]) -> None:
+        """The list as it is at the gateway's start."""
+        stamps = [backend.started_ms for backend in backends]
+        newest = max(stamps, default=0.0)
+        young = sum(1 for stamp in stamps if stamp > newest - self._cold_ms)
+        if newest > 0.0 and 2 * young < len(stamps):
+            self._newest = newest
+
+    def learn(self, backend: Dated, now: float, most_age_ms: float) -> None:
+        """Another process, which was heard of now: it can't be older than `most_age_ms`, which is infinite
+        for what was on the list at the gateway's start."""
+        backend.heard_at, backend.most_age_ms = now, most_age_ms
+        stamp, started_at = self._forgotten.pop(backend.id, (None, 0.0))
+        if stamp == backend.started:
+            backend.started_at = started_at
+        else:
+            self._date(backend)
+
+    def _date(self, backend: Dated) -> None:
+        if backend.started <= 0.0 or self._cold_ms <= 0.0:
+            backend.started_at = -math.inf
+            return
+        age_ms = backend.heard_at + self._fleet_time.offset_ms - backend.started
+        if not 0.0 <= age_ms <= backend.most_age_ms:
+            age_ms = 0.0
+        if backend.most_age_ms == math.inf and 0.0 < self._newest < backend.started + self._cold_ms:
+            age_ms = min(age_ms, max(0.0, self._newest - backend.started))
+        backend.started_at = backend.heard_at - age_ms
+
+    def time_moved(self, backends: Iterable[Dated]) -> None:
+        """The fleet's time may be known better by now."""
+        if abs(self._fleet_time.offset_ms - self._offset_ms) > MOVED_MS:
+            self._offset_ms = self._fleet_time.offset_ms
+            for backend in backends:
+                self._date(backend)
+
+    def forget(self, backends: Iterable[Dated]) -> None:
+        """These have left; what comes back with the stamp that it had is no other process."""
+        for backend in backends:
+            self._forgotten[backend.id] = backend.started, backend.started_at
+        while len(self._forgotten) > FORGOTTEN_MOST:
+            del self._forgotten[next(iter(self._forgotten))]
+
+    def warmth(self, backend: Dated, now: float) -> float:
+        """The part of its capacity that a backend has by now, at least."""
+        age_ms = now - backend.started_at
+        if age_ms >= self._cold_ms:
+            return 1.0
+        return self._cold_from + (1.0 - self._cold_from) * age_ms / self._cold_ms
--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -198,6 +198,8 @@
         self._wait, self._draw = 0.0, draw or random.random  # evenly from [0, 1)
         self._where, self._version, self._told = where, version, told
         self._watch: Watch | None = None
+        self._heard_at = 0.0  # when discovery was last heard before this watch, or this began
+        self._silent_since: float | None = None  # before the first object of this watch
         self._lists = 0  # heard so far
         self._newest = version  # of all places so far
         self._known: dict[str, tuple[io.Backend, Address]] = {}  # those not gone, as last told
@@ -215,6 +217,8 @@
         }
 
     def start(self) -> None:
+        if self._watch is None:
+            self._heard_at = asyncio.get_running_loop().time()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def stop(self) -> None:
@@ -260,6 +264,9 @@
         host = f"{self._where[0]}:{self._where[1]}"
         loop = asyncio.get_running_loop()
         self._taken = Taken()  # a list that broke off leaves out nothing; what it said stands
+        if self._watch is not None and self._watch.spoke:
+            self._heard_at = self._watch.heard_at
+        self._silent_since = self._heard_at
         watch = self._watch = Watch(target, host, self._take)
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -286,8 +293,11 @@
             ends = len(names) < NAMES_SLICE
         if backends or ends:
             changes.event.version, changes.event.backends = taken.version or 0, tuple(backends)
+            if self._silent_since is not None:
+                changes.event.silent_ms = (self._watch.heard_at - self._silent_since) * 1000.0
             self._told(changes)
         if ends:
+            self._silent_since = None
             self._version, self._lists, self._taken = taken.version, self._lists + 1, Taken()
             self.first.set()
         return reader.any() or self._taken.unnamed is not None
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -85,9 +85,7 @@
         left = config.sockets - OWN_SOCKETS
         connections = int(min(config.sockets * BACKEND_SHARE, left * BACKEND_PART))  # to backends
         # The module chooses who waits where there are fewer connections than it would send requests.
-        settings = dataclasses.replace(
-            config.settings, most_out=float(connections), agree_on_time=config.counter is not None
-        )
+        settings = dataclasses.replace(config.settings, most_out=float(connections), clocks_in_step=False)
         self._module = Gateway(settings, config.seed)
         self._requests: dict[str, Held] = {}
         self._names: set[bytes] = set()  # what their clients call them
