Take time-outs and units with as many decimals as programs print

Change: up to 32 decimals. Measured: two new cases of tests/test_checks.py fail without it and pass with it.

--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -23,7 +23,7 @@
 IDENTITY = re.compile(rb"[0-9a-f]{16}")
 KEYS = re.compile(rb"[!-~]{1,128}")
 WHERE = re.compile(rb"/(?:[!-~]*/)?([0-9A-Fa-f]{16})")
-DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,32})?")
 WHOLE = re.compile(rb"\d{1,6}")
 
 
--- a/elderhub/wire.py
+++ b/elderhub/wire.py
@@ -35,7 +35,7 @@
     return host, int(port)
 
 
-NUMBER = re.compile(rb"[+-]?\d{1,15}(\.\d{1,15})?([eE][+-]?\d{1,2})?")
+NUMBER = re.compile(rb"[+-]?\d{1,15}(\.\d{1,32})?([eE][+-]?\d{1,2})?")
 
 
 def number(text: bytes, least: float, most: float) -> float | None:
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -49,6 +49,8 @@
         dict(target=f"/{CUSTOMER.upper()}".encode()),
         dict(x_timeout=b"7"),
         dict(x_timeout=b"0.001"),
+        dict(x_timeout=b"0.48000000000000004"),  # as programs print what they have left
+        dict(quota_info=b"units=1.30000000000000004,spread=3,first=1"),
         dict(quota_info=b"first=3, spread=3, units=0.5"),
         dict(quota_info=b"units=1,spread=4,first=2"),
         dict(method=b"POST", x_priority_class=b"hold", idempotency_key=b"k", body=b"two nights"),
