--- a/rosehitch/__main__.py
+++ b/rosehitch/__main__.py
@@ -141,5 +141,27 @@
     sys.exit(state.exit_code())
 
 
+@main.command()
+@click.option("--seeds", type=click.IntRange(1), default=3, show_default=True, help="How many runs.")
+@click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="Seed of the first one.")
+@click.option("--seconds", type=click.FloatRange(DEMO_LEAST_S, DEMO_MOST_S), default=8.0, show_default=True)
+def soak(seeds: int, first: int, seconds: float) -> None:
+    """End, restart and reconfigure real gateways on loopback under load, run after run, by seed.
+
+    A line for each run, with the rules that were broken. Exit code 0 only if none was.
+    """
+    import uvloop
+
+    from .soak import play
+
+    broken = 0
+    for seed in range(first, first + seeds):
+        report = uvloop.run(play(seed, seconds))
+        broken += bool(report.broken)
+        click.echo(report.line())
+    click.echo(f"{seeds} runs, {broken} of them with a broken rule")
+    sys.exit(1 if broken else 0)
+
+
 if __name__ == "__main__":
     main(prog_name="python -m rosehitch")
--- a/rosehitch/rules.py
+++ b/rosehitch/rules.py
@@ -96,6 +96,10 @@
         request.answered = True
         self._limit(at - request.last_s - ANSWER_LATE_S, ANSWERS, f"{name} was answered too late")
 
+    def withdrawn(self, name: str) -> None:
+        """Its client has taken a request back that was not read, and sends it once more by another name."""
+        self._requests[name].answered = True
+
     def surplus(self, count: int) -> None:
         """So often an answer came to which no request was out."""
         if count:
--- a/scale/program.py
+++ b/scale/program.py
@@ -95,7 +95,8 @@
     """One gateway, told `settings` and the ports of its discovery and counter.
 
     `known`: the parts of its last list's text. `metered`: it notes its longest steps. `patch`: statements
-    that are run before it starts. `host`: where it listens, at a port that was free.
+    that are run before it starts. `host`: where it listens, at a port that was free. `limits`: as the
+    configuration has them.
     """
 
     def __init__(
@@ -108,8 +109,10 @@
         metered: bool = False,
         patch: str = "",
         host: str = LISTEN_HOST,
+        limits: dict = LIMITS,
     ):
         self._counter, self._known, self._settings = counter, known, settings
+        self._limits = limits
         self.address = host, free_port(host)
         self._stem = home / "{}-{}".format(*self.address)
         self._meter = self._file("steps")
@@ -131,7 +134,7 @@
                 "seed": "8c1f30d27a5be964",
                 "discovery": f"127.0.0.1:{discovery}",
                 "counter": f"127.0.0.1:{self._counter}",
-                "limits": LIMITS,
+                "limits": self._limits,
                 "settings": self._settings,
             }
         ).encode()
