--- a/tests/world.py
+++ b/tests/world.py
@@ -10,6 +10,7 @@
 import struct
 import sys
 import tempfile
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -75,6 +76,7 @@
     headers: dict
     body: bytes
     connection: int
+    at: float = field(default_factory=time.monotonic)
 
 
 def ok(body=b"beds", head=b""):
