Count a client's time from when its request came, not from when it was read

Cause: Client.on_message_complete took the clock when the last byte was read, so what a request had lain unread, in a gateway that was held up or in the queue of the listening socket, was told to its backend as time left.

--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -15,6 +15,7 @@
 
 from cobaltline import interface as io
 
+from .arrival import Arrivals
 from .checks import LENGTH, NOT_PASSED_ON, ONCE, Bad, Message, arrived
 from .system import REAL, System
 from .wire import MOST_BYTES, Seldom
@@ -71,8 +72,10 @@
 class Client(asyncio.Protocol):
     """One connection of a client."""
 
-    def __init__(self, clients: Clients):
+    def __init__(self, clients: Clients, waited_since: float | None = None):
         self._clients = clients
+        self._taken_in_at = clients.host.now()
+        self._waited_since = waited_since  # to be taken in, perhaps; until a request came
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._reading: Message | None = None  # not yet whole
@@ -220,7 +223,10 @@
         message = self._reading
         message.method, message.body = self._parser.get_method(), b"".join(self._body)
         message.keep_alive = self._parser.should_keep_alive()
-        message.came = self._clients.host.now()
+        message.came = self._clients.arrivals.came_at(
+            self.transport.get_extra_info("socket"), self._taken_in_at, self._waited_since
+        )
+        self._waited_since = None
         self._reading, self._unread = None, 0
         self._queue.append(message)
 
@@ -296,12 +302,14 @@
         self.loop, self.host, self.system = asyncio.get_running_loop(), host, system
         self._settings, self._most = settings, most
         self._room, self._easy = int(most * ROOM_SHARE), int(most * EASY_SHARE)
+        self.arrivals = Arrivals(system, host.now)
         self._open: dict[Client, None] = {}
         self._listening: socket.socket | None = None
         self._opening: set[asyncio.Task] = set()
         self.draining = self.ready = self.over = False
 
     def listen(self, host: str, port: int) -> None:
+        self.arrivals.start()
         self._listening = self.system.listen(host, port, BACKLOG)
         self._listen()
         self._sweep()
@@ -318,6 +326,7 @@
                 return
             try:
                 if not self._take_in():
+                    self.arrivals.all_taken_in()
                     return
             except OSError as error:  # the loop would try it again and again
                 seldom.warning("no connection can be taken: %s", error)
@@ -335,12 +344,13 @@
         except ConnectionError:  # it has gone again
             return True
         sock.setblocking(False)
-        task = self.loop.create_task(self._connected(sock))
+        task = self.loop.create_task(self._connected(sock, self.arrivals.waiting_since()))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
         return True
 
     def _wait_for_room(self) -> None:
+        self.arrivals.no_room()
         self.loop.remove_reader(self._listening)
         self.loop.call_later(ACCEPT_S, self._listen)
 
@@ -348,9 +358,9 @@
         if self._listening.fileno() >= 0:
             self.loop.add_reader(self._listening, self._accept)
 
-    async def _connected(self, sock: socket.socket) -> None:
+    async def _connected(self, sock: socket.socket, waited_since: float | None) -> None:
         with contextlib.suppress(OSError):  # it has gone again
-            await self.loop.connect_accepted_socket(lambda: Client(self), sock)
+            await self.loop.connect_accepted_socket(lambda: Client(self, waited_since), sock)
 
     def opened(self, client: Client) -> None:
         self._open[client] = None
--- a/elderhub/system.py
+++ b/elderhub/system.py
@@ -5,8 +5,12 @@
 import random
 import select
 import socket
+import sys
 import time
 
+LAST_DATA_RECEIVED = 52  # where Linux's struct tcp_info has tcpi_last_data_recv, four bytes, in ms
+TCP_INFO_BYTES = LAST_DATA_RECEIVED + 4
+
 
 class System:
     """The real one. `Host` takes another with the same methods, as the emulator's."""
@@ -25,5 +29,15 @@
         listening.setblocking(False)
         return listening
 
+    def received_ago_ms(self, sock: socket.socket) -> float | None:
+        """How long ago the last bytes came on a TCP connection; none where that is not known."""
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        except (OSError, AttributeError):
+            return None
+        if len(info) < TCP_INFO_BYTES:
+            return None
+        return float(int.from_bytes(info[LAST_DATA_RECEIVED:TCP_INFO_BYTES], sys.byteorder))
+
 
 REAL = System()
--- a/emulator/machine.py
+++ b/emulator/machine.py
@@ -341,3 +341,7 @@
 
     def listen(self, host: str, port: int, backlog: int) -> Listener:
         return self._machine.listen((host, port), backlog)
+
+    def received_ago_ms(self, sock) -> None:
+        """Not known here."""
+        return None
