--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,6 +1,8 @@
 """SIGTERM: what was taken is answered, the rest finds the door, and the exit code is 0."""
 
 import asyncio
+import contextlib
+import os
 import signal
 
 import pytest
@@ -236,3 +238,43 @@
             assert await w.program.wait() == 0
 
     run(scene)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signals_that_come_to_the_very_end_do_not_kill(number):
+    # The interpreter gives signals back their defaults before it ends.
+    async def scene():
+        async with World({"b1": Backend()}) as w:
+            ended = asyncio.create_task(w.stop())
+            while not ended.done():
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(w.program.pid, number)
+                await asyncio.sleep(0)
+            assert await ended == 0
+
+    run(scene)
+
+
+def test_signals_in_series_end_a_gateway_once_and_well():
+    # SIGHUP with a file that is half written, within a second, during a drain, and SIGTERM after it.
+    async def scene():
+        hold = Hold()
+        async with World({"b1": Backend(hold)}) as w:
+            client = await w.connect()
+            client.send(request("pay"))
+            await hold.reached.wait()
+            path = w.write_config()
+            whole = path.read_text()
+            path.write_text(whole[: len(whole) // 2])
+            for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                w.program.send_signal(number)
+                await asyncio.sleep(0.05)
+            path.write_text(whole)
+            w.program.send_signal(signal.SIGHUP)
+            w.program.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.05)
+            hold.release.set()
+            assert (await client.answer()).status == 200
+            assert await w.program.wait() == 0
+
+    run(scene)
