End well whatever signals come after SIGTERM

Cause: handlers of the loop's own give signals back their defaults as the loop closes, and the interpreter does the same for any handler in Python before it ends; libuv's four threads take a signal that the main thread has blocked (a mask alone was tried: still -15, -2, -1). A storm of SIGHUP read the file once for each signal.

Change: handlers are plain ones that call into the loop, once for several signals; when the drain is over all three signals are ignored, which the interpreter leaves as it is.

Measured: SIGTERM, SIGINT and SIGHUP sent without pause until the process ends: exit codes -15, -2 and -1 before, 0 since; 54 tests of drain, reload, start and command pass but for SIGHUP's before the handler took several as one, which passes since.

--- a/elderhub/__main__.py
+++ b/elderhub/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
@@ -21,18 +22,18 @@
 LAST_ANSWERS_S = 0.4  # of that bit: what is open then is answered
 FLUSH_S = 0.1  # and so long the last answers may take to go out
 POLL_S = 0.02
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 GC_THRESHOLD = 5000  # new objects; what cycles keep alive until then is no more than a MB
 
 log = logging.getLogger("elderhub")
 
 
 async def serve(config: Config) -> None:
-    loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
+    for name in END_SIGNALS:
+        _handle(name, stop.set)
     host = Host(config)
-    loop.add_signal_handler(signal.SIGHUP, _reload, host, config)
+    _handle(signal.SIGHUP, _reload, host, config)
     ready = await begin(host, config)
     gc.collect()
     gc.freeze()
@@ -40,6 +41,26 @@
     await stop.wait()
     ready.cancel()
     await drain(host, config)
+    for name in (*END_SIGNALS, signal.SIGHUP):
+        signal.signal(name, signal.SIG_IGN)
+
+
+def _handle(name: signal.Signals, what: Callable[..., None], *args: object) -> None:
+    """Call `what` in the loop at such a signal; once, for several that come before it is called. A handler of
+    the loop's own would give the signal back its default when the loop closes, and then one kills a process
+    that is about to end well."""
+    loop, waiting = asyncio.get_running_loop(), []
+
+    def call() -> None:
+        waiting.clear()
+        what(*args)
+
+    def come(*_: object) -> None:
+        if not waiting:
+            waiting.append(name)
+            loop.call_soon_threadsafe(call)
+
+    signal.signal(name, come)
 
 
 async def begin(host: Host, config: Config) -> asyncio.Task:
