--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -257,6 +257,7 @@
     def __init__(self):
         self.opened, self.mute, self.line = [], False, b'{"generation":1,"reset":true,"instances":[]}'
         self.refuse = None
+        self.late_s = 0.0  # so long after a call it is answered
 
     async def connect(self, watch, host, port):
         self.loop = asyncio.get_running_loop()
@@ -268,7 +269,7 @@
         self.watch = watch
         if not self.mute:
             head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            self.loop.call_soon(self.say, watch, self.line, head)
+            self.loop.call_later(self.late_s, self.say, watch, self.line, head)
         return transport, watch
 
     def say(self, watch, line=b"", head=b""):
@@ -371,6 +372,20 @@
         assert heard - back <= TOLD_S - MARGIN_S, (back, told)
 
 
+@pytest.mark.parametrize("ask_every_s", [10.0, 60.0])
+@pytest.mark.parametrize("late_s", [4.0, 6.0, 10.0])
+def test_a_crowded_service_is_heard_however_late_it_answers(late_s, ask_every_s, monkeypatch):
+    # What was given up and asked anew would never be heard; each call is one more for the service.
+    monkeypatch.setattr(watching.random, "random", lambda: 0.999)
+
+    def play(loop, agent):
+        agent.late_s = late_s
+
+    opened, told = watched(play, ask_every_s)
+    assert told and told[0][0] <= late_s + MARGIN_S
+    assert sum(1 for at in opened if at <= late_s) <= 1 + late_s / watching.WAIT_S
+
+
 def test_a_new_watch_that_is_silent_too_is_soon_given_up():
     def play(loop, agent):
         agent.mute = True
