Hear a crowded service of lists however late it answers

Cause: where lists must be asked for, Discovery gave a call up after 3.5 s and made it anew, so a service whose line is longer was never heard, and each call lengthened the line.

Change: up to three calls that were not answered in time are kept beside the last one; the first to speak is the watch, and the others end. Nothing changes where lists are pushed: there a silent call is lost.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import sys
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from itertools import islice
@@ -23,6 +24,7 @@
 SILENT_S = 3.0  # a watch says something every 2 s; what a silent one misses counts as told after 6 s
 ANSWER_S = 1.0  # a new watch says something at once, as the agent is near; a silent agent is asked again
 WAIT_S = 3.5  # but where calls wait their turn at a service that all gateways share, after this
+LATE_MOST = 3  # calls there that may yet be answered, beside the last one
 LOOK_S = 0.001  # timers go before what has come meanwhile: so long for that to be read
 CONNECT_S = 1.0  # the agent is near: a connection that is not up by then never comes up
 BACKOFF_S = 0.1  # wait before a new try: what the agent has counts as told, so it is soon asked again
@@ -92,6 +94,9 @@
         self._blank: bool | None = None  # whether what came last is white space alone
 
     def connection_made(self, transport) -> None:
+        if self._over:
+            transport.abort()
+            return
         self.transport, self.heard_at = transport, self._loop.time()
         transport.write(self._request)
 
@@ -198,6 +203,7 @@
         self._wait, self._draw = 0.0, draw or random.random  # evenly from [0, 1)
         self._where, self._version, self._told = where, version, told
         self._watch: Watch | None = None
+        self._late: deque[Watch] = deque()  # calls that were not answered in time, and may be yet
         self._heard_at = 0.0  # when discovery was last heard before this watch, or this began
         self._silent_since: float | None = None  # before the first object of this watch
         self._lists = 0  # heard so far
@@ -226,6 +232,8 @@
             self._task.cancel()
         if self._watch is not None:
             self._watch.stop()
+        while self._late:
+            self._late.pop().stop()
 
     def restart(self, whole: bool = False) -> None:
         """Watch anew, from the whole list if that is wanted."""
@@ -259,7 +267,24 @@
         return min(self._wait, max(0.0, NEXT_S - silent_s)) * self._draw()
 
     async def _watched(self) -> None:
-        """One watch from its start to its end."""
+        """One watch from its start to its end, or another that was given up before and speaks first."""
+        try:
+            if not self._speaks():
+                await self._open()
+            watch = None
+            while watch is not self._watch:
+                watch = self._watch
+                await watch.fallen_silent(WAIT_S if self._ask_every_s > 0.0 else ANSWER_S)
+            self._put_off(watch)
+        except asyncio.CancelledError:  # what an old place still says is not heard
+            self._watch.stop()
+            raise
+
+    def _speaks(self) -> bool:
+        """Whether a watch that was given up has spoken since."""
+        return self._watch is not None and self._watch.spoke and not self._watch.ended.done()
+
+    async def _open(self) -> None:
         target = "/v1/servers?watch=1" + (f"&after={self._version}" if self._version else "")
         host = f"{self._where[0]}:{self._where[1]}"
         loop = asyncio.get_running_loop()
@@ -267,16 +292,34 @@
         if self._watch is not None and self._watch.spoke:
             self._heard_at = self._watch.heard_at
         self._silent_since = self._heard_at
-        watch = self._watch = Watch(target, host, self._take)
+        watch = self._watch = Watch(target, host, lambda reader: self._take_from(watch, reader))
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: watch, *self._where)
-            await watch.fallen_silent(WAIT_S if self._ask_every_s > 0.0 else ANSWER_S)
         except (OSError, TimeoutError):
-            pass
-        finally:  # also where this was called off: what an old place still says is not heard
             watch.stop()
 
+    def _put_off(self, watch: Watch) -> None:
+        """A call that has its turn yet to come at a shared service is not given up for the next one: it would
+        never be heard. All else ends."""
+        if self._ask_every_s <= 0.0 or watch.spoke or watch.ended.done():
+            watch.stop()
+            return
+        self._late.append(watch)
+        if len(self._late) > LATE_MOST:
+            self._late.popleft().stop()
+
+    def _take_from(self, watch: Watch, reader: Reader) -> bool:
+        """What a watch says. The first one to speak is the one that counts; the others end."""
+        if watch in self._late:
+            self._late.remove(watch)
+            if watch is not self._watch:
+                before, self._watch = self._watch, watch
+                before.stop()
+        while self._late:
+            self._late.pop().stop()
+        return self._take(reader)
+
     def _take(self, reader: Reader) -> bool:
         """Take in a slice of what came; whether there is more to do."""
         taken, changes = self._taken, Listing(io.BackendsChanged(io.ListKind.CHANGES), {})
