Test what lies unread at a look at connections, and the grace of a drain under hold-ups

Measured: a request that comes while the gateway is held up for 2.5 s is answered on a kept and on a new connection; held up for 0.15 s three quarters of the time, nothing new reaches a backend past its grace of 1 s. Three new tests of real processes, which pass.

--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -10,6 +10,7 @@
 
 SLACK_S = 0.15  # the protocol's
 ROUNDING_S = 0.01
+GRACE_S = 1.0  # the stand-in settings: from being told of a drain to the last send
 PATIENCE_S = 8.0  # that requests state
 
 
@@ -64,3 +65,52 @@
                 client.writer.close()
 
     run(scene)
+
+
+@pytest.mark.parametrize("spoke", [True, False], ids=["kept connection", "new connection"])
+def test_a_request_that_lies_unread_when_its_connection_is_looked_at_is_answered(spoke):
+    # One that never spoke is closed after 2 s, and an idle one may be: not while a request lies unread.
+    async def scene():
+        async with World({"b1": Backend()}) as w:
+            client = await w.connect()
+            if spoke:
+                client.send(request())
+                assert (await client.answer()).status == 200
+            await asyncio.sleep(0.2)
+            w.program.send_signal(signal.SIGSTOP)
+            client.send(request())
+            await asyncio.sleep(2.5)
+            w.program.send_signal(signal.SIGCONT)
+            assert (await client.answer()).status == 200
+
+    run(scene)
+
+
+def test_nothing_new_reaches_a_backend_past_its_grace_though_the_gateway_is_held_up():
+    # Held up for 0.15 s again and again, on kept connections and new ones.
+    async def scene():
+        leaving, staying = Backend(), Backend()
+        async with World({"b1": leaving, "b2": staying}) as w:
+
+            async def held_up():
+                while True:
+                    w.program.send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(0.15)
+                    w.program.send_signal(signal.SIGCONT)
+                    await asyncio.sleep(0.05)
+
+            holds = asyncio.create_task(held_up())
+            calls = [asyncio.create_task(w.call(request()))]
+            told_at = None
+            for k in range(150):
+                calls.append(asyncio.create_task(w.call(request())))
+                await asyncio.sleep(0.02)
+                if k == 30:
+                    w.discovery.tell(w.discovery.entry("b1", leaving.port, "Terminating"))
+                    told_at = time.monotonic()
+            assert {answer.status for answer in await asyncio.gather(*calls)} <= {200, 503}
+            holds.cancel()
+            assert leaving.seen and staying.seen[-1].at > told_at + GRACE_S
+            assert leaving.seen[-1].at <= told_at + GRACE_S
+
+    run(scene)
