End a soak's troubles though a cancellation is lost

Cause: asyncio.wait_for of Python 3.11 loses a cancellation that comes as the process it waits for ends. Change: the troubles also look at a flag.

--- a/rosehitch/soak.py
+++ b/rosehitch/soak.py
@@ -127,6 +127,7 @@
         self._programs: list[Program | None] = [None] * GATEWAYS
         self._agents: list[Agent] = []
         self._gone: set[int] = set()  # backends that drain
+        self.over = False  # no further trouble: `asyncio.wait_for` may lose a cancellation
 
     async def start(self) -> None:
         port = 0
@@ -212,7 +213,7 @@
     # Troubles.
 
     async def troubles(self) -> None:
-        while True:
+        while not self.over:
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
             if self.random.random() < 0.15 and len(self._gone) < BACKENDS // 3:
                 self._drain_backend()
@@ -283,6 +284,7 @@
             await soak.load(seconds)
             await asyncio.sleep(soak.deadline_s + 1.0)
         finally:
+            soak.over = True
             troubles.cancel()
             late.cancel()
             ended = await asyncio.gather(troubles, late, return_exceptions=True)
