--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -27,7 +27,7 @@
 WHOLE = re.compile(rb"\d{1,6}")
 
 
-class Bad(Exception):
+class RequestError(Exception):
     """A request that is answered with this status and never reaches a backend."""
 
     def __init__(self, status: int, why: str):
@@ -59,19 +59,19 @@
     """The event of a request. The id is the host's to give."""
     headers = message.headers
     if message.method not in (b"GET", b"POST"):
-        raise Bad(405, "only GET and POST are served")
+        raise RequestError(405, "only GET and POST are served")
     found = WHERE.fullmatch(message.path())
     if found is None or int(found[1], 16) >= CUSTOMERS:
-        raise Bad(404, "the path names no customer")
+        raise RequestError(404, "the path names no customer")
     for name in NEEDED:
         if name not in headers:
-            raise Bad(400, f"missing: {name.decode()}")
+            raise RequestError(400, f"missing: {name.decode()}")
     if not IDENTITY.fullmatch(headers[ID]):
-        raise Bad(400, "x-request-id is not 16 hex digits")
+        raise RequestError(400, "x-request-id is not 16 hex digits")
     cls = settings.classes.get(headers[CLASS].decode("latin-1"))
     plan = settings.plans.get(headers[PLAN].decode("latin-1"))
     if cls is None or plan is None:
-        raise Bad(400, "no such class" if cls is None else "no such plan")
+        raise RequestError(400, "no such class" if cls is None else "no such plan")
     _fits(message, cls)
     units, first, spread = _quota(headers[QUOTA], settings)
     return io.RequestArrived(
@@ -91,20 +91,20 @@
     """The method follows from the class, and what may run again is told apart by its key."""
     safe = cls.repeat is io.Repeat.SAFE
     if message.method != (b"GET" if safe else b"POST"):
-        raise Bad(405, "another method than its class has")
+        raise RequestError(405, "another method than its class has")
     if safe and message.body:
-        raise Bad(400, "a body that its class has not")
+        raise RequestError(400, "a body that its class has not")
     if cls.repeat is io.Repeat.KEYED and not KEYS.fullmatch(message.headers.get(KEY, b"")):
-        raise Bad(400, "missing: idempotency-key")
+        raise RequestError(400, "missing: idempotency-key")
     if message.headers.get(RETRIED, b"1") not in (b"0", b"1"):
-        raise Bad(400, "x-retried is not 1")
+        raise RequestError(400, "x-retried is not 1")
 
 
 def _wait_ms(text: bytes, cls: io.RequestClass) -> float:
     """No client waits longer than its class is given."""
     wait_ms = float(text) * 1000.0 if DECIMAL.fullmatch(text) else 0.0
     if not 0.0 < wait_ms <= cls.deadline_ms + ROUNDING_MS:
-        raise Bad(400, "x-timeout is not a number in range")
+        raise RequestError(400, "x-timeout is not a number in range")
     return wait_ms
 
 
@@ -113,13 +113,13 @@
     pairs = [pair.strip().partition(b"=")[::2] for pair in text.split(b",")]
     given = dict(pairs)
     if len(pairs) != 3 or given.keys() != {b"units", b"spread", b"first"}:
-        raise Bad(400, "quota-info is not units, spread and first")
+        raise RequestError(400, "quota-info is not units, spread and first")
     units = number(given[b"units"], 0.0, settings.most_units) if DECIMAL.fullmatch(given[b"units"]) else None
     if not units:
-        raise Bad(400, "units out of range")
+        raise RequestError(400, "units out of range")
     if not (WHOLE.fullmatch(given[b"first"]) and WHOLE.fullmatch(given[b"spread"])):
-        raise Bad(400, "a set that is none")
+        raise RequestError(400, "a set that is none")
     first, spread, gateways = int(given[b"first"]), int(given[b"spread"]), max(1, settings.gateways)
     if not (first < gateways and 0 < spread <= gateways and (settings.me - first) % gateways < spread):
-        raise Bad(400, "a set that is none of this gateway's")
+        raise RequestError(400, "a set that is none of this gateway's")
     return units, first, spread
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -16,12 +16,12 @@
 from cobaltline import interface as io
 
 from .arrival import Arrivals
-from .checks import LENGTH, NOT_PASSED_ON, ONCE, Bad, Message, arrived
+from .checks import LENGTH, NOT_PASSED_ON, ONCE, Message, RequestError, arrived
 from .system import REAL, System
-from .wire import MOST_BYTES, Seldom
+from .wire import MOST_BYTES, ThrottledLog
 
 log = logging.getLogger(__name__)
-seldom = Seldom(log)
+throttled_log = ThrottledLog(log)
 
 BOUND_S = 2.0  # a first request has so long from connecting, a later one from its first byte
 IDLE_S = 2.0  # a connection that stood idle for less is not closed to make room
@@ -83,7 +83,7 @@
         self._ahead = 0  # bytes read since requests began to queue
         self._in_head = False
         self._body: list[bytes] = []
-        self._queue: deque[Message | Bad] = deque()
+        self._queue: deque[Message | RequestError] = deque()
         self._current: Message | None = None  # awaits its answer
         self._deaf = self._full = False  # reads no more; writes no more until there is room
         self._dropped = 0  # bytes read after the last answer
@@ -136,18 +136,22 @@
         try:
             self._parser.feed_data(data)
             if self._reading is not None and self._unread > 2 * MOST_BYTES:
-                raise Bad(431, "the request is too large")  # a line without end, which no callback tells of
+                raise RequestError(
+                    431, "the request is too large"
+                )  # a line without end, which no callback tells of
         except httptools.HttpParserUpgrade:
             # An offer of another protocol is passed over: the request is served, and the connection ends.
             self._deaf, self._queue[-1].keep_alive = True, False
         except httptools.HttpParserError as error:
             cause = error.__context__
-            self._refuse_to_read(cause if isinstance(cause, Bad) else Bad(400, "not a request"))
-        except Bad as bad:
+            self._refuse_to_read(
+                cause if isinstance(cause, RequestError) else RequestError(400, "not a request")
+            )
+        except RequestError as bad:
             self._refuse_to_read(bad)
         self._next()
 
-    def _refuse_to_read(self, bad: Bad) -> None:
+    def _refuse_to_read(self, bad: RequestError) -> None:
         self._deaf, self._reading = True, None
         self._queue.append(bad)
 
@@ -161,7 +165,7 @@
         elif not self.spoke and age >= BOUND_S and not self.unread():
             self.transport.close()
         elif self._reading is not None and not self._deaf and age >= BOUND_S and not self.unread():
-            self._refuse_to_read(Bad(408, "the request did not come whole"))
+            self._refuse_to_read(RequestError(408, "the request did not come whole"))
             self._next()
 
     def rank(self, now: float) -> int | None:
@@ -178,12 +182,12 @@
 
     def turn_away(self) -> None:
         """Answer the request that is half read: there is no room for its connection."""
-        self._refuse_to_read(Bad(503, "too many connections"))
+        self._refuse_to_read(RequestError(503, "too many connections"))
         self._next()
 
     def on_message_begin(self) -> None:
         if len(self._queue) >= QUEUE_MOST or self._ahead > AHEAD_MOST:
-            raise Bad(429, "too many requests at once")
+            raise RequestError(429, "too many requests at once")
         self._reading, self._body, self._size, self._in_head = Message(), [], 0, True
         self.spoke = True
 
@@ -194,7 +198,7 @@
     def _grow(self, more: int, status: int) -> None:
         self._size += more
         if self._size > MOST_BYTES:
-            raise Bad(status, "the request is too large")
+            raise RequestError(status, "the request is too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._in_head:
@@ -202,7 +206,7 @@
         self._grow(len(name) + len(value), 431)
         message, low = self._reading, name.lower()
         if low in ONCE and low in message.headers:
-            raise Bad(400, "a header is given twice")
+            raise RequestError(400, "a header is given twice")
         message.headers[low] = value
         if low not in NOT_PASSED_ON:
             message.passed_on.append(b"%b: %b\r\n" % (name, value))
@@ -210,7 +214,7 @@
     def on_headers_complete(self) -> None:
         self._in_head, self._size = False, 0
         if int(self._reading.headers.get(LENGTH, b"0")) > MOST_BYTES:
-            raise Bad(413, "the request is too large")
+            raise RequestError(413, "the request is too large")
         expected = self._reading.headers.get(b"expect", b"").lower() == b"100-continue"
         if expected and self._current is None and not self._queue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -236,7 +240,7 @@
         """Take up what was read next. Pipelined input waits its turn."""
         while self._current is None and self._queue and not self._full:
             item = self._queue.popleft()
-            if isinstance(item, Bad):
+            if isinstance(item, RequestError):
                 self._current = Message()
                 self._current.keep_alive = False
                 self.answer(item.status, item.why.encode() + b"\n")
@@ -329,7 +333,7 @@
                     self.arrivals.all_taken_in()
                     return
             except OSError as error:  # the loop would try it again and again
-                seldom.warning("no connection can be taken: %s", error)
+                throttled_log.warning("no connection can be taken: %s", error)
                 if error.errno in NO_DESCRIPTOR:
                     self._make_room(ACCEPT_MOST)  # others need some as well
                 self._wait_for_room()
@@ -422,7 +426,7 @@
             event = arrived(message, self._settings)
             client.asked, client.again = True, client.asked
             self.host.take(client, message, event)
-        except Bad as bad:
+        except RequestError as bad:
             client.answer(bad.status, str(bad).encode() + b"\n")
         except Exception:
             log.exception("a request could not be taken")
--- a/elderhub/counter.py
+++ b/elderhub/counter.py
@@ -10,10 +10,10 @@
 
 from cobaltline import interface as io
 
-from .wire import Address, Seldom, number
+from .wire import Address, ThrottledLog, number
 
 log = logging.getLogger(__name__)
-seldom = Seldom(log)
+throttled_log = ThrottledLog(log)
 
 LINKS = 4  # connections; a name keeps to one, as answers for a name come in the order of its calls
 BACKOFF_S = 0.05  # wait before a connection that failed is tried again; doubles from there
@@ -144,7 +144,7 @@
 
     def _spoilt(self, line: bytes) -> None:
         """What comes after it belongs to no call that we know of: those behind it end with the connection."""
-        seldom.warning("counter: unexpected answer %r", line[:60])
+        throttled_log.warning("counter: unexpected answer %r", line[:60])
         self._transport.abort()
 
     def _answered(self, line: bytes) -> bool:
@@ -157,7 +157,7 @@
         elif word == b"busy":
             self._counter.end(call, io.Outcome.FULL)
         elif word == b"error":
-            seldom.warning("counter: turned down %r", call.line)
+            throttled_log.warning("counter: turned down %r", call.line)
             self._counter.end(call, io.Outcome.ERROR)
         elif word == b"pong" and not call.name:
             call.over = True
--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -16,10 +16,10 @@
 from cobaltline import interface as io
 
 from .lists import ENTRIES_MOST, Part, Reader
-from .wire import Address, Seldom, address
+from .wire import Address, ThrottledLog, address
 
 log = logging.getLogger(__name__)
-seldom = Seldom(log)
+throttled_log = ThrottledLog(log)
 
 SILENT_S = 3.0  # a watch says something every 2 s; what a silent one misses counts as told after 6 s
 ANSWER_S = 1.0  # a new watch says something at once, as the agent is near; a silent agent is asked again
@@ -74,7 +74,7 @@
         )
         return backend, None if backend.state is io.BackendState.REMOVED else address(raw["hostPort"])
     except MALFORMED as error:  # one bad entry must not hide the others
-        seldom.warning("discovery: %.200r is passed over: %r", raw, error)
+        throttled_log.warning("discovery: %.200r is passed over: %r", raw, error)
         return None
 
 
@@ -106,7 +106,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:  # what a callback raised is its context
-            seldom.warning("discovery: %r", error.__context__ or error)
+            throttled_log.warning("discovery: %r", error.__context__ or error)
             self.stop()
             return
         if self._blank and self._reader.inside:
@@ -131,7 +131,7 @@
         try:
             more = self._take(self._reader)
         except Exception as error:
-            seldom.warning("discovery: %r", error)
+            throttled_log.warning("discovery: %r", error)
             self.stop()
             return
         if more != self._busy and not self._lost:
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -18,7 +18,7 @@
 from cobaltline import interface as io
 
 from .backends import Backends, Exchange
-from .checks import ID, Bad, Message
+from .checks import ID, Message, RequestError
 from .clients import Client, Clients
 from .config import Config
 from .counter import Counter
@@ -49,7 +49,7 @@
         return self._start + self._monotonic() * 1000.0
 
 
-class Held:
+class OpenRequest:
     """A request that was taken, until its end was told to the module and no attempt is out."""
 
     __slots__ = (
@@ -87,7 +87,7 @@
         # The module chooses who waits where there are fewer connections than it would send requests.
         settings = dataclasses.replace(config.settings, most_out=float(connections), clocks_in_step=False)
         self._module = Gateway(settings, config.seed)
-        self._requests: dict[str, Held] = {}
+        self._requests: dict[str, OpenRequest] = {}
         self._names: set[bytes] = set()  # what their clients call them
         self._last = 0
         self._events: deque = deque()
@@ -158,7 +158,7 @@
                 held.told = held.told or held.done
                 self._forget(held)
 
-    def _forget(self, held: Held) -> None:
+    def _forget(self, held: OpenRequest) -> None:
         if held.told and not held.out and self._requests.pop(held.id, None) is not None:
             self._names.discard(held.name)
 
@@ -166,11 +166,11 @@
 
     def take(self, client: Client, message: Message, event: io.RequestArrived) -> None:
         if message.headers[ID] in self._names:  # its attempts would be taken for second copies of the other's
-            raise Bad(409, "a request of this id is open")
+            raise RequestError(409, "a request of this id is open")
         self._names.add(message.headers[ID])
         self._last += 1
         event.request = f"{self._last}"
-        held = self._requests[event.request] = Held(event.request, client, message, event.deadline_ms)
+        held = self._requests[event.request] = OpenRequest(event.request, client, message, event.deadline_ms)
         client.held = held
         wait_s = (event.deadline_ms - self.now()) / 1000.0
         held.timer = self._loop.call_later(max(0.0, wait_s), self._overdue, held)
@@ -181,13 +181,13 @@
         if self._close(held):
             self.put(io.ClientLeft(held.id))
 
-    def _wanted(self, held: Held) -> bool:
+    def _wanted(self, held: OpenRequest) -> bool:
         """Whether the request is still open and its client there: asked before each send."""
         if not held.done and held.client.gone():
             self.left(held.client)
         return not held.done
 
-    def _close(self, held: Held) -> bool:
+    def _close(self, held: OpenRequest) -> bool:
         """Whether the request was still open. It is not from here on."""
         if held.done:
             return False
@@ -197,7 +197,7 @@
             exchange.withdraw()
         return True
 
-    def _answer(self, held: Held, status: int, body: bytes = b"", headers: bytes = b"") -> bool:
+    def _answer(self, held: OpenRequest, status: int, body: bytes = b"", headers: bytes = b"") -> bool:
         """The final answer, unless there was one."""
         if not self._close(held):
             return False
@@ -206,7 +206,7 @@
         client.answer(status, body, headers)
         return True
 
-    def _overdue(self, held: Held) -> None:
+    def _overdue(self, held: OpenRequest) -> None:
         """The module answers before this; it guards against an error there."""
         if not held.done:
             log.error("request %s was not answered in time", held.id)
--- a/elderhub/wire.py
+++ b/elderhub/wire.py
@@ -59,7 +59,7 @@
     return out
 
 
-class Seldom:
+class ThrottledLog:
     """A log for what others cause: a line a second at most, so that nobody can flood it."""
 
     def __init__(self, log: logging.Logger):
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -111,6 +111,6 @@
 
 @pytest.mark.parametrize("bad,status", BAD)
 def test_what_no_usual_client_sends_is_turned_down(bad, status):
-    with pytest.raises(checks.Bad) as caught:
+    with pytest.raises(checks.RequestError) as caught:
         checks.arrived(message(**bad), SETTINGS)
     assert caught.value.status == status
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -111,7 +111,7 @@
     """A gateway that makes up its answers."""
     patch = (
         "from elderhub import checks, clients\n"
-        "def made_up(*_):\n    raise checks.Bad(200, 'made up')\n"
+        "def made_up(*_):\n    raise checks.RequestError(200, 'made up')\n"
         "checks.arrived = clients.arrived = made_up\n"
     )
     process = demo(tmp_path, "--seconds", "3", patch=patch)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -368,7 +368,7 @@
 
 
 def test_what_others_cause_cannot_flood_the_log(caplog):
-    seldom = wire.Seldom(logging.getLogger("elderhub.test"))
+    throttled_log = wire.ThrottledLog(logging.getLogger("elderhub.test"))
     for i in range(1000):
-        seldom.warning("odd: %d", i)
+        throttled_log.warning("odd: %d", i)
     assert len(caplog.records) <= 10 and "odd: 0" in caplog.text
