Test SIGTERM before a gateway is ready

Measured: six moments from 0 to 0.3 s after the start of a real process with a silent discovery: exit by the signal or with 0, no traceback.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -278,3 +278,18 @@
             assert await w.program.wait() == 0
 
     run(scene)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.1, 0.15, 0.2, 0.3])
+def test_a_signal_before_it_is_ready_ends_a_gateway(after_s):
+    # Before its handler is set the signal itself ends the process: nothing was taken by then.
+    async def scene():
+        world = World({"b1": Backend()}, waits=False)
+        world.discovery.mute = True  # it would wait for its first list for a second
+        async with world as w:
+            await asyncio.sleep(after_s)
+            w.program.send_signal(signal.SIGTERM)
+            assert await w.program.wait() in (0, -signal.SIGTERM)
+            assert "Traceback" not in w.log.read_text()
+
+    run(scene)
