Keep the head and body of a request as text, whatever its lines and chunks

Cause: each header line was kept as up to four objects, of which only the text counted towards the limit of 64 KiB. The same bytes in other shapes show it: 129 MB in lines of 13 bytes, 40 MB in lines of 106, 22 MB in one line. Body chunks were kept as objects too: 131 MB in chunks of 2 bytes.

Change: what is forwarded of a head and the body are one bytearray each, and only headers that the gateway reads are kept as objects. A message has at most 512 header lines, since each costs processor time as well.

--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -39,7 +39,10 @@
     }
 )
 REQUIRED_HEADERS = (b"host", REQUEST_ID_HEADER, CLASS_HEADER, PLAN_HEADER, TIMEOUT_HEADER, QUOTA_HEADER)
-UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {CONTENT_LENGTH_HEADER, b"expect", TIMEOUT_HEADER}
+# Headers that the gateway reads itself; all others are only forwarded.
+EXPECT_HEADER = b"expect"
+KEPT_HEADERS = SINGLE_VALUE_HEADERS | {EXPECT_HEADER}
+UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {CONTENT_LENGTH_HEADER, EXPECT_HEADER, TIMEOUT_HEADER}
 CUSTOMER_ID_LIMIT = 1 << 33  # exclusive
 TIMEOUT_ROUNDING_MS = 1.0  # clients round X-Timeout to a few decimals
 
@@ -59,15 +62,30 @@
 
 
 class HttpRequest:
-    """One HTTP request as read from a client. Names in `headers` are in lower case."""
+    """One HTTP request as read from a client.
+
+    `headers` holds those of KEPT_HEADERS, with names in lower case. What is forwarded is kept as one piece of
+    text: an object for each header line or body chunk would take many times the memory of its bytes.
+    """
 
     __slots__ = ("method", "target", "headers", "forwarded_headers", "body", "keep_alive", "received_at_ms")
 
     def __init__(self) -> None:
-        self.method, self.target, self.body, self.keep_alive = b"", b"", b"", True
+        self.method, self.target, self.keep_alive = b"", b"", True
         self.received_at_ms = 0.0  # host clock at its last byte
         self.headers: dict[bytes, bytes] = {}
-        self.forwarded_headers: list[bytes] = []
+        self.forwarded_headers = bytearray()  # header lines
+        self.body = bytearray()
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header line; raises RequestError if the header may be given only once and was before."""
+        lower_name = name.lower()
+        if lower_name in KEPT_HEADERS:
+            if lower_name in self.headers and lower_name in SINGLE_VALUE_HEADERS:
+                raise RequestError(400, "a header is given twice")
+            self.headers[lower_name] = value
+        if lower_name not in UNFORWARDED_HEADERS:
+            self.forwarded_headers += b"%b: %b\r\n" % (name, value)
 
     def path(self) -> bytes:
         """Returns the target without its query."""
@@ -76,12 +94,7 @@
     def head(self) -> bytes:
         """Returns the head as forwarded to a backend, without X-Timeout and the empty line at its end."""
         length = b"Content-Length: %d\r\n" % len(self.body) if self.body or self.method != b"GET" else b""
-        return b"%b %b HTTP/1.1\r\n%b%b" % (
-            self.method,
-            self.target,
-            length,
-            b"".join(self.forwarded_headers),
-        )
+        return b"%b %b HTTP/1.1\r\n%b%b" % (self.method, self.target, length, self.forwarded_headers)
 
 
 def parse_request(message: HttpRequest, settings: io.Settings) -> io.RequestArrived:
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -18,14 +18,13 @@
 from .arrival import ArrivalEstimator
 from .checks import (
     CONTENT_LENGTH_HEADER,
-    SINGLE_VALUE_HEADERS,
-    UNFORWARDED_HEADERS,
+    EXPECT_HEADER,
     HttpRequest,
     RequestError,
     parse_request,
 )
 from .system import REAL_SYSTEM, System
-from .wire import MAX_MESSAGE_BYTES, ThrottledLog
+from .wire import MAX_HEADER_LINES, MAX_MESSAGE_BYTES, ThrottledLog
 
 log = logging.getLogger(__name__)
 throttled_log = ThrottledLog(log)
@@ -95,9 +94,9 @@
         self._parser = httptools.HttpRequestParser(self)
         self._incoming: HttpRequest | None = None  # being parsed
         self._part_bytes = self._incoming_bytes = 0  # of its head or its body so far; raw, since it began
+        self._header_lines = 0  # of its head and trailers so far
         self._queued_bytes = 0  # raw, since requests began to queue
         self._in_head = False
-        self._body: list[bytes] = []
         self._queue: deque[HttpRequest | RequestError] = deque()
         self._current: HttpRequest | None = None  # being answered
         self._input_closed = self._write_paused = False  # input is discarded; the client does not read
@@ -211,7 +210,8 @@
     def on_message_begin(self) -> None:
         if len(self._queue) >= MAX_QUEUED_REQUESTS or self._queued_bytes > MAX_QUEUED_BYTES:
             raise RequestError(429, "too many requests at once")
-        self._incoming, self._body, self._part_bytes, self._in_head = HttpRequest(), [], 0, True
+        self._incoming, self._part_bytes, self._in_head = HttpRequest(), 0, True
+        self._header_lines = 0
         self.has_sent = True
 
     def on_url(self, url: bytes) -> None:
@@ -224,31 +224,29 @@
             raise RequestError(status, "the request is too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._header_lines += 1
+        if self._header_lines > MAX_HEADER_LINES:
+            raise RequestError(431, "too many header lines")
         if not self._in_head:
             return  # trailers are ignored
         self._count_bytes(len(name) + len(value), 431)
-        message, lower_name = self._incoming, name.lower()
-        if lower_name in SINGLE_VALUE_HEADERS and lower_name in message.headers:
-            raise RequestError(400, "a header is given twice")
-        message.headers[lower_name] = value
-        if lower_name not in UNFORWARDED_HEADERS:
-            message.forwarded_headers.append(b"%b: %b\r\n" % (name, value))
+        self._incoming.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         self._in_head, self._part_bytes = False, 0
         if int(self._incoming.headers.get(CONTENT_LENGTH_HEADER, b"0")) > MAX_MESSAGE_BYTES:
             raise RequestError(413, "the request is too large")
-        expected = self._incoming.headers.get(b"expect", b"").lower() == b"100-continue"
+        expected = self._incoming.headers.get(EXPECT_HEADER, b"").lower() == b"100-continue"
         if expected and self._current is None and not self._queue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._count_bytes(len(body), 413)
-        self._body.append(body)
+        self._incoming.body += body
 
     def on_message_complete(self) -> None:
         message = self._incoming
-        message.method, message.body = self._parser.get_method(), b"".join(self._body)
+        message.method = self._parser.get_method()
         message.keep_alive = self._parser.should_keep_alive()
         message.received_at_ms = self._clients.arrivals.earliest_arrival_ms(
             self.transport.get_extra_info("socket"), self._accepted_at_ms, self._backlogged_since_ms
--- a/elderhub/wire.py
+++ b/elderhub/wire.py
@@ -9,6 +9,7 @@
 Address = tuple[str, int]
 
 MAX_MESSAGE_BYTES = 64 * 1024  # of a body, and of a head
+MAX_HEADER_LINES = 512  # of a message with its trailers; each costs processor time
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,74 @@
+"""A gateway stays under its limit on memory, whatever clients send."""
+
+import asyncio
+import itertools
+import string
+from pathlib import Path
+
+import pytest
+from world import Backend, HeldReply, World, request, run
+
+CLIENT_COUNT = 120
+LIMITS = {"cores": 1.0, "memory_mb": 80, "sockets": 544}
+CHECK_INTERVAL_S = 0.005
+
+
+def used_memory_mb(pid):
+    """Returns the memory of a process in MB, without what it shares with files."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    kib = {line.partition(":")[0]: int(line.split()[1]) for line in lines if line.startswith("Rss")}
+    return (kib["RssAnon"] + kib["RssShmem"]) / 1024.0
+
+
+def endless_head(line_count=4900):
+    """Returns the beginning of a request with many short header lines, which never ends."""
+    names = itertools.islice(itertools.product(string.ascii_lowercase, repeat=3), line_count)
+    lines = b"".join(b"%b:%b\r\n" % ("".join(name).encode(), b"v" * 10) for name in names)
+    return b"GET /api/0000000000004000 HTTP/1.1\r\nHost: api.internal\r\n" + lines
+
+
+def endless_body(chunk_count=18_000):
+    """Returns a request with a body of many short chunks, which never ends."""
+    return request("hold", Content_Length=None, Transfer_Encoding="chunked") + b"2\r\nab\r\n" * chunk_count
+
+
+async def send_all(world, clients_input):
+    """Sends each input on a connection of its own and returns the statuses of the first responses.
+
+    Asserts that the gateway stays under its limit on memory until all have been answered.
+    """
+    clients = [await world.connect() for _ in clients_input]
+    for client, data in zip(clients, clients_input, strict=True):
+        client.send(data)
+    responses = asyncio.gather(*(client.read_response() for client in clients))
+    try:
+        while not responses.done():
+            assert used_memory_mb(world.process.pid) < world.limits["memory_mb"]
+            await asyncio.sleep(CHECK_INTERVAL_S)
+    finally:
+        responses.cancel()
+    return [answer.status for answer in await responses]
+
+
+@pytest.mark.parametrize("data", [endless_head(), endless_body()], ids=["head", "body"])
+def test_many_short_lines_or_chunks_do_not_take_many_times_their_size(data):
+    # Guards against objects kept for each line or chunk: 120 bad clients took 130 MB with 10 MB of input.
+    async def scene():
+        async with World({"b1": Backend(HeldReply())}, limits=LIMITS) as world:
+            statuses = await send_all(world, [data] * CLIENT_COUNT)
+            assert all(status >= 400 for status in statuses)
+            assert await world.health() == 200
+
+    run(scene)
+
+
+def test_a_request_with_too_many_header_lines_is_rejected():
+    async def scene():
+        backend = Backend()
+        async with World({"b1": backend}) as world:
+            assert (await world.call(endless_head(1000) + b"\r\n")).status == 431
+            padding = {f"X_Padding_{i}": "x" for i in range(400)}
+            assert (await world.call(request(**padding))).status == 200
+            assert len(backend.requests) == 1
+
+    run(scene)
