--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -14,7 +14,7 @@
 
 from .discovery import Listing
 from .system import REAL_SYSTEM, System
-from .wire import HOP_BY_HOP_HEADERS, MAX_MESSAGE_BYTES, Address
+from .wire import HOP_BY_HOP_HEADERS, MAX_HEADER_LINES, MAX_MESSAGE_BYTES, Address
 
 log = logging.getLogger(__name__)
 
@@ -55,7 +55,12 @@
     )
 
     def __init__(
-        self, backend: str, head: bytes, body: bytes, deadline_s: float, on_done: Callable[[Exchange], None]
+        self,
+        backend: str,
+        head: bytes,
+        body: bytes | bytearray,
+        deadline_s: float,
+        on_done: Callable[[Exchange], None],
     ):
         self.backend, self.head, self.body, self.deadline_s, self.on_done = (
             backend,
@@ -106,9 +111,10 @@
         self._exchange: Exchange | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._poll = pool.poll()
-        self._headers: list[bytes] = []
-        self._body: list[bytes] = []
-        self._received_bytes = self._body_bytes = 0  # raw, since the request was written; of the body
+        # Each is one piece of text: objects for each line or chunk would take many times the memory.
+        self._headers, self._body = bytearray(), bytearray()
+        self._header_lines = 0  # of the present response and its trailers
+        self._received_bytes = 0  # raw, since the request was written
         self._content_length: bytes | None = None
         self._status, self._not_processed, self._load_reports = 0, False, []
         self._is_chunked = self._has_head = self._ends_with_connection = False
@@ -175,7 +181,7 @@
     def on_message_begin(self) -> None:
         if self._is_complete:
             raise ValueError("data after the response")  # the response itself stands
-        self._headers, self._body, self._body_bytes = [], [], 0
+        self._headers, self._body, self._header_lines = bytearray(), bytearray(), 0
         self._content_length, self._is_chunked, self._has_head, self._ends_with_connection = (
             None,
             False,
@@ -185,6 +191,9 @@
         self._status, self._not_processed, self._load_reports = 0, False, []
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._header_lines += 1
+        if self._header_lines > MAX_HEADER_LINES:
+            raise ValueError("too many header lines")
         lower_name = name.lower()
         if lower_name == b"content-length":
             self._content_length = value
@@ -197,7 +206,7 @@
         elif lower_name == b"x-server-load":
             self._load_reports.append(value)
         if lower_name not in UNRETURNED_HEADERS:
-            self._headers.append(b"%b: %b\r\n" % (name, value))
+            self._headers += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         self._status = self._parser.get_status_code()
@@ -214,10 +223,9 @@
             raise ValueError("the answer is too large")
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_MESSAGE_BYTES:
+        self._body += body
+        if len(self._body) > MAX_MESSAGE_BYTES:
             raise ValueError("the answer is too large")
-        self._body.append(body)
 
     def on_message_complete(self) -> None:
         self._is_complete = self._status >= 200
@@ -225,7 +233,7 @@
 
     def _finish_response(self) -> None:
         exchange = self._exchange
-        exchange.response_headers, exchange.response_body = b"".join(self._headers), b"".join(self._body)
+        exchange.response_headers, exchange.response_body = bytes(self._headers), bytes(self._body)
         exchange.load_report = b",".join(self._load_reports)
         self._end(self._outcome(), exchange.is_sent and self._keeps_alive and not self._has_excess)
 
@@ -239,7 +247,7 @@
 
     def _end(self, outcome: io.Outcome, keep: bool = False) -> None:
         exchange, self._exchange = self._exchange, None
-        self._headers, self._body = [], []
+        self._headers, self._body = bytearray(), bytearray()
         if self._body_timer is not None:
             self._body_timer.cancel()
             self._body_timer = None
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,13 +3,20 @@
 import asyncio
 import itertools
 import string
+import tracemalloc
 from pathlib import Path
 
 import pytest
-from world import Backend, HeldReply, World, request, run
+from test_backends import Sender
+from world import Backend, HeldReply, World, request, run, wait_until
+
+from cobaltline import interface as io
+from elderhub import backends
 
 CLIENT_COUNT = 120
 LIMITS = {"cores": 1.0, "memory_mb": 80, "sockets": 544}
+RESPONSE_COUNT = 60
+LOWEST_MEMORY_LIMIT_BYTES = 32 << 20  # of a gateway, on the operators' pages
 CHECK_INTERVAL_S = 0.005
 
 
@@ -72,3 +79,37 @@
             assert len(backend.requests) == 1
 
     run(scene)
+
+
+RESPONSES_WITHOUT_END = {
+    "head": b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 16_000,
+    "body": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 18_000,
+}
+
+
+@pytest.mark.parametrize("data", RESPONSES_WITHOUT_END.values(), ids=RESPONSES_WITHOUT_END.keys())
+def test_many_short_lines_or_chunks_of_responses_do_not_take_many_times_their_size(data, monkeypatch):
+    # Guards against objects kept for each line or chunk: 60 malformed responses took 45 to 60 MB.
+    async def scene():
+        async def reply(received, writer):
+            writer.write(data)
+
+        monkeypatch.setattr(backends, "BODY_TIMEOUT_S", 60.0)  # tracing takes time
+        backend = await Backend(reply).start()
+        sender, total_bytes = Sender(backend.port), RESPONSE_COUNT * len(data)
+
+        def received_bytes():
+            connections = sender.backends._pools["b0"].connections
+            return sum(connection._received_bytes for connection in connections)
+
+        tracemalloc.start()
+        exchanges = [sender.send(0) for _ in range(RESPONSE_COUNT)]
+        await wait_until(lambda: len(sender.ended) == RESPONSE_COUNT or received_bytes() == total_bytes)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak_bytes < LOWEST_MEMORY_LIMIT_BYTES
+        for exchange in exchanges:
+            exchange.abandon(io.Outcome.CANCELLED)
+        backend.server.close()
+
+    run(scene)
