Free the input of a refused request at once

Cause: the RequestError itself was kept as the answer. An exception refers to the frames that it passed, and those to the input and, where the exception is one of their local variables, to the exception: a reference cycle.

Change: an answer is a Refusal, a status and a text; exceptions are only raised. A parser that is no longer fed is dropped with the part of a line that it may hold. test_checks reads the same status from its new place.

Result: 1,200 malformed requests with 250 KB of input, one after another, take a gateway to 15 MB in place of 34. With the collector off the new test sees 80 MB exceeded before and passes now.

--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 from cobaltline import interface as io
 
@@ -53,12 +54,23 @@
 INTEGER_PATTERN = re.compile(rb"\d{1,6}")
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The answer to a request that never reaches a backend: its status, and the text of its body."""
+
+    status: int
+    reason: str
+
+
 class RequestError(Exception):
-    """A request that is answered with `status` and never reaches a backend; `reason` becomes the body."""
+    """A request that has to be refused.
+
+    Only `refusal` is kept for later: an exception refers to the frames that it passed, and so to their input.
+    """
 
     def __init__(self, status: int, reason: str):
         super().__init__(reason)
-        self.status, self.reason = status, reason
+        self.refusal = Refusal(status, reason)
 
 
 class HttpRequest:
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -20,6 +20,7 @@
     CONTENT_LENGTH_HEADER,
     EXPECT_HEADER,
     HttpRequest,
+    Refusal,
     RequestError,
     parse_request,
 )
@@ -72,6 +73,12 @@
 STATUS_LINES[405] += b"Allow: GET, POST\r\n"
 
 
+def _refusal_of(error: httptools.HttpParserError) -> Refusal:
+    """Returns the refusal that a callback raised, or else the one of input that can't be parsed."""
+    cause = error.__context__
+    return cause.refusal if isinstance(cause, RequestError) else Refusal(400, "not a request")
+
+
 class RequestHandler(Protocol):
     """What client connections need of the host."""
 
@@ -97,7 +104,7 @@
         self._header_lines = 0  # of its head and trailers so far
         self._queued_bytes = 0  # raw, since requests began to queue
         self._in_head = False
-        self._queue: deque[HttpRequest | RequestError] = deque()
+        self._queue: deque[HttpRequest | Refusal] = deque()
         self._current: HttpRequest | None = None  # being answered
         self._input_closed = self._write_paused = False  # input is discarded; the client does not read
         self._discarded_bytes = 0
@@ -158,16 +165,14 @@
             # The upgrade is ignored: the request is served, and the connection ends.
             self._input_closed, self._queue[-1].keep_alive = True, False
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            self._reject_input(
-                cause if isinstance(cause, RequestError) else RequestError(400, "not a request")
-            )
-        except RequestError as refusal:
-            self._reject_input(refusal)
+            self._reject_input(_refusal_of(error))
+        except RequestError as error:
+            self._reject_input(error.refusal)
         self._process_next()
 
-    def _reject_input(self, refusal: RequestError) -> None:
+    def _reject_input(self, refusal: Refusal) -> None:
         self._input_closed, self._incoming = True, None
+        self._parser = None  # it may hold a part of a line
         self._queue.append(refusal)
 
     def check_timeouts(self, now_s: float) -> None:
@@ -187,7 +192,7 @@
             and age_s >= REQUEST_READ_TIMEOUT_S
             and not self.has_unread()
         ):
-            self._reject_input(RequestError(408, "the request did not come whole"))
+            self._reject_input(Refusal(408, "the request did not come whole"))
             self._process_next()
 
     def eviction_rank(self, now_s: float) -> int | None:
@@ -204,7 +209,7 @@
 
     def refuse_partial(self) -> None:
         """Refuses the request that is being read, since its connection is evicted."""
-        self._reject_input(RequestError(503, "too many connections"))
+        self._reject_input(Refusal(503, "too many connections"))
         self._process_next()
 
     def on_message_begin(self) -> None:
@@ -261,14 +266,18 @@
         """Handles queued requests until one of them has to wait for its response."""
         while self._current is None and self._queue and not self._write_paused:
             item = self._queue.popleft()
-            if isinstance(item, RequestError):
+            if isinstance(item, Refusal):
                 self._current = HttpRequest()
                 self._current.keep_alive = False
-                self.respond(item.status, item.reason.encode() + b"\n")
+                self.refuse(item)
             else:
                 self._current = item
                 self._clients.handle_message(self, item)
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Writes a refusal as the response to the current request."""
+        self.respond(refusal.status, refusal.reason.encode() + b"\n")
+
     def is_idle(self) -> bool:
         """Whether no request is being read, queued or answered."""
         return self._current is None and self._incoming is None and not self._queue and not self.is_finished
@@ -474,8 +483,8 @@
             event = parse_request(message, self._settings)
             client.has_requested, client.has_requested_again = True, client.has_requested
             self.host.handle_request(client, message, event)
-        except RequestError as refusal:
-            client.respond(refusal.status, str(refusal).encode() + b"\n")
+        except RequestError as error:
+            client.refuse(error.refusal)
         except Exception:
             log.exception("handling a request failed; answering 500")
             client.respond(500)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -113,4 +113,4 @@
 def test_invalid_requests_are_rejected(changes, status):
     with pytest.raises(checks.RequestError) as error:
         checks.parse_request(message(**changes), SETTINGS)
-    assert error.value.status == status
+    assert error.value.refusal.status == status
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -51,9 +51,11 @@
     try:
         while not responses.done():
             assert used_memory_mb(world.process.pid) < world.limits["memory_mb"]
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.wait([responses], timeout=CHECK_INTERVAL_S)
     finally:
         responses.cancel()
+    for client in clients:
+        client.writer.transport.abort()
     return [answer.status for answer in await responses]
 
 
@@ -81,6 +83,18 @@
     run(scene)
 
 
+def test_the_input_of_refused_requests_is_freed_at_once():
+    # Guards against exceptions kept in reference cycles with frames and their input: 34 MB in place of 15.
+    async def scene():
+        data = request().replace(b"Plan:", b"X-Request-ID: 2\r\nPlan:") + b"x" * 250_000
+        patch = "import gc\ngc.disable()"
+        async with World({"b1": Backend()}, limits=LIMITS, patch=patch) as world:
+            for _ in range(1200):
+                assert await send_all(world, [data]) == [400]
+
+    run(scene)
+
+
 RESPONSES_WITHOUT_END = {
     "head": b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 16_000,
     "body": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 18_000,
