Bound the memory of all requests and responses by the limit of the gateway

Each connection had limits of its own, all together had none, and limits.memory_mb was not read. With 5 whole requests of 60 KB on each connection, waiting for their quota, a gateway took 80 to 124 MB of 80 (260 connections), 56 to 62 of 32 (120) and 174 to 189 of 32 (480).

Change: a budget of a fourth of limits.memory_mb counts what is read, queued, open, received from backends and not yet sent. Beyond it, requests that are queued or being read are refused with 503, at the connections that hold most first; each still gets its answer in its turn. Open ones are never given up for it: while they alone take the budget, new requests are refused, and a response that is incomplete is given up.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -13,6 +13,7 @@
 from cobaltline import interface as io
 
 from .discovery import Listing
+from .memory import MemoryBudget
 from .system import REAL_SYSTEM, System
 from .wire import HOP_BY_HOP_HEADERS, MAX_HEADER_LINES, MAX_MESSAGE_BYTES, Address
 
@@ -115,6 +116,7 @@
         self._headers, self._body = bytearray(), bytearray()
         self._header_lines = 0  # of the present response and its trailers
         self._received_bytes = 0  # raw, since the request was written
+        self._held_bytes = 0  # of an incomplete response
         self._content_length: bytes | None = None
         self._status, self._not_processed, self._load_reports = 0, False, []
         self._is_chunked = self._has_head = self._ends_with_connection = False
@@ -165,9 +167,22 @@
         elif self._received_bytes > (MAX_RESPONSE_BYTES if self._has_head else MAX_MESSAGE_BYTES):
             # An endless head or trailer triggers no callback of the parser.
             self._end(io.Outcome.UNUSABLE_RESPONSE)
+        elif not self._hold(len(data)):
+            self._end(io.Outcome.UNUSABLE_RESPONSE)
         elif self._has_head and self._body_timer is None:
             self._body_timer = self._pool.loop.call_later(BODY_TIMEOUT_S, self._on_body_timeout)
 
+    def _hold(self, size: int) -> bool:
+        """Counts a part of an incomplete response; returns whether there is memory for it."""
+        self._held_bytes += size
+        return self._pool.memory.adjust(size)
+
+    def _release(self) -> None:
+        """Counts nothing of the response any more."""
+        if self._held_bytes:
+            self._pool.memory.adjust(-self._held_bytes)
+            self._held_bytes = 0
+
     def _on_body_timeout(self) -> None:
         """Gives up on a response whose body is not complete in time."""
         self._body_timer = None
@@ -248,6 +263,7 @@
     def _end(self, outcome: io.Outcome, keep: bool = False) -> None:
         exchange, self._exchange = self._exchange, None
         self._headers, self._body = bytearray(), bytearray()
+        self._release()
         if self._body_timer is not None:
             self._body_timer.cancel()
             self._body_timer = None
@@ -266,6 +282,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._pool.connection_ended(self)
+        self._release()
         if self._body_timer is not None:
             self._body_timer.cancel()
         self._parser = None  # breaks the reference cycle with the parser
@@ -287,7 +304,12 @@
     """The connections to one backend, and the exchanges that wait for theirs to open."""
 
     def __init__(self, backends: Backends, address: Address):
-        self.loop, self.poll, self._backends = backends.loop, backends.poll, backends
+        self.loop, self.poll, self.memory, self._backends = (
+            backends.loop,
+            backends.poll,
+            backends.memory,
+            backends,
+        )
         self.address, self.is_closed = address, False
         self.connections: set[Connection] = set()
         self.idle_connections: list[Connection] = []  # the most recently used last
@@ -409,9 +431,14 @@
     """
 
     def __init__(
-        self, settings: io.Settings, keepalive_ms: float, max_connections: int, system: System = REAL_SYSTEM
+        self,
+        settings: io.Settings,
+        keepalive_ms: float,
+        max_connections: int,
+        memory: MemoryBudget,
+        system: System = REAL_SYSTEM,
     ):
-        self.loop, self.poll = asyncio.get_running_loop(), system.poll
+        self.loop, self.poll, self.memory = asyncio.get_running_loop(), system.poll, memory
         self.connect_timeout_s = settings.connect_timeout_ms / 1000.0
         self.max_idle_s, self._max_connections = keepalive_ms * IDLE_TIMEOUT_SHARE / 1000.0, max_connections
         # Address and start time of each backend that takes new requests.
--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -45,6 +45,7 @@
 KEPT_HEADERS = SINGLE_VALUE_HEADERS | {EXPECT_HEADER}
 UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {CONTENT_LENGTH_HEADER, EXPECT_HEADER, TIMEOUT_HEADER}
 CUSTOMER_ID_LIMIT = 1 << 33  # exclusive
+OBJECT_OVERHEAD_BYTES = 2048  # of a request as Python objects, beside its text
 TIMEOUT_ROUNDING_MS = 1.0  # clients round X-Timeout to a few decimals
 
 REQUEST_ID_PATTERN = re.compile(rb"[0-9a-f]{16}")
@@ -78,12 +79,25 @@
 
     `headers` holds those of KEPT_HEADERS, with names in lower case. What is forwarded is kept as one piece of
     text: an object for each header line or body chunk would take many times the memory of its bytes.
+    `refusal`, where it is set, is the answer, and nothing else of the request matters.
     """
 
-    __slots__ = ("method", "target", "headers", "forwarded_headers", "body", "keep_alive", "received_at_ms")
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "forwarded_headers",
+        "body",
+        "keep_alive",
+        "received_at_ms",
+        "refusal",
+        "_kept_bytes",
+    )
 
     def __init__(self) -> None:
         self.method, self.target, self.keep_alive = b"", b"", True
+        self.refusal: Refusal | None = None
+        self._kept_bytes = 0  # of the values in `headers`
         self.received_at_ms = 0.0  # host clock at its last byte
         self.headers: dict[bytes, bytes] = {}
         self.forwarded_headers = bytearray()  # header lines
@@ -96,9 +110,23 @@
             if lower_name in self.headers and lower_name in SINGLE_VALUE_HEADERS:
                 raise RequestError(400, "a header is given twice")
             self.headers[lower_name] = value
+            self._kept_bytes += len(value)
         if lower_name not in UNFORWARDED_HEADERS:
             self.forwarded_headers += b"%b: %b\r\n" % (name, value)
 
+    def held_bytes(self) -> int:
+        """Returns about how much memory the request takes; nothing worth counting once it is refused."""
+        if self.refusal is not None:
+            return 0
+        text_bytes = len(self.target) + self._kept_bytes + len(self.forwarded_headers) + len(self.body)
+        return OBJECT_OVERHEAD_BYTES + text_bytes
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Sets the answer and frees what the request holds."""
+        self.refusal = refusal
+        self.target, self.headers, self._kept_bytes = b"", {}, 0
+        self.forwarded_headers = self.body = bytearray()
+
     def path(self) -> bytes:
         """Returns the target without its query."""
         return self.target.partition(b"?")[0]
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -24,6 +24,7 @@
     RequestError,
     parse_request,
 )
+from .memory import MemoryBudget
 from .system import REAL_SYSTEM, System
 from .wire import MAX_HEADER_LINES, MAX_MESSAGE_BYTES, ThrottledLog
 
@@ -106,7 +107,9 @@
         self._in_head = False
         self._queue: deque[HttpRequest | Refusal] = deque()
         self._current: HttpRequest | None = None  # being answered
-        self._input_closed = self._write_paused = False  # input is discarded; the client does not read
+        self.input_bytes = self._held_bytes = 0  # memory held by its input; by its input and output
+        # Input is discarded; the client does not read; the connection has ended.
+        self._input_closed = self._write_paused = self._is_lost = False
         self._discarded_bytes = 0
         self.open_request = None  # set and used by the host
         self.has_sent = self.is_finished = False  # any part of a request; the last response is written
@@ -121,6 +124,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._clients.connection_closed(self)
+        self._is_lost = True
         self._on_disconnect()
         self._parser = None  # breaks the reference cycle with the parser
 
@@ -134,8 +138,9 @@
         return False
 
     def _on_disconnect(self) -> None:
-        self._input_closed, self._current = True, None
+        self._input_closed, self._current, self._incoming = True, None, None
         self._queue.clear()
+        self.update_held_bytes()
         if self.open_request is not None:
             self._clients.host.client_disconnected(self)
 
@@ -212,6 +217,34 @@
         self._reject_input(Refusal(503, "too many connections"))
         self._process_next()
 
+    def refuse_unstarted(self) -> None:
+        """Refuses the requests that are queued or being read, to free the memory that they hold.
+
+        Each still gets its answer when its turn comes.
+        """
+        refusal = Refusal(503, "too much memory in use")
+        for item in self._queue:
+            if isinstance(item, HttpRequest):
+                item.refuse(refusal)
+        if self._incoming is not None:
+            self._reject_input(refusal)
+        self._process_next()
+
+    def update_held_bytes(self) -> None:
+        """Reports the memory that this connection holds, beside that of its open request."""
+        input_bytes = 0
+        if self._queue:
+            input_bytes = sum(item.held_bytes() for item in self._queue if isinstance(item, HttpRequest))
+        if self._incoming is not None:
+            # The parser holds what is not in the request yet.
+            input_bytes += max(self._incoming.held_bytes(), self._incoming_bytes)
+        output_bytes = 0 if self._is_lost else self.transport.get_write_buffer_size()
+        held_bytes = input_bytes + output_bytes
+        change_bytes = held_bytes - self._held_bytes
+        self.input_bytes, self._held_bytes = input_bytes, held_bytes
+        if change_bytes:
+            self._clients.memory.adjust(change_bytes)
+
     def on_message_begin(self) -> None:
         if len(self._queue) >= MAX_QUEUED_REQUESTS or self._queued_bytes > MAX_QUEUED_BYTES:
             raise RequestError(429, "too many requests at once")
@@ -273,6 +306,7 @@
             else:
                 self._current = item
                 self._clients.handle_message(self, item)
+        self.update_held_bytes()
 
     def refuse(self, refusal: Refusal) -> None:
         """Writes a refusal as the response to the current request."""
@@ -320,10 +354,12 @@
             self._half_close()
         elif self._queue:
             self._clients.loop.call_soon(self._process_next)
+        self.update_held_bytes()
 
     def _half_close(self) -> None:
         """Ends the output and discards further input, as closing with unread input would send a reset."""
         self._input_closed = self.is_finished = True
+        self._incoming = None
         self._queue.clear()
         self.transport.write_eof()
 
@@ -339,9 +375,16 @@
     """The listening socket and all client connections, at most `max_connections`."""
 
     def __init__(
-        self, host: RequestHandler, settings: io.Settings, max_connections: int, system: System = REAL_SYSTEM
+        self,
+        host: RequestHandler,
+        settings: io.Settings,
+        max_connections: int,
+        memory: MemoryBudget,
+        system: System = REAL_SYSTEM,
     ):
         self.loop, self.host, self.system = asyncio.get_running_loop(), host, system
+        self.memory = memory
+        memory.reclaim = self._refuse_unstarted
         self._settings, self._max_connections = settings, max_connections
         self._evict_above, self._evict_idle_above = (
             int(max_connections * EVICTION_SHARE),
@@ -452,6 +495,18 @@
                 break
         return evicted
 
+    def _refuse_unstarted(self) -> None:
+        """Frees memory: refuses what has not been started, at the connections that hold most of it first."""
+        for client in self._open:
+            client.update_held_bytes()  # responses may have been sent meanwhile
+        if not self.memory.is_reclaimed():
+            throttled_log.warning("requests hold %d bytes, refusing some", self.memory.held_bytes)
+        while not self.memory.is_reclaimed():
+            client = max(self._open, key=lambda candidate: candidate.input_bytes, default=None)
+            if client is None or not client.input_bytes:
+                return
+            client.refuse_unstarted()
+
     def is_crowded(self) -> bool:
         """Whether a first response should end its connection, as there are many connections already."""
         return len(self._open) > self._evict_idle_above
@@ -472,6 +527,9 @@
     def handle_message(self, client: Client, message: HttpRequest) -> None:
         """Answers a health check or a malformed request itself and passes all else to the host."""
         try:
+            if message.refusal is not None:
+                client.refuse(message.refusal)
+                return
             if message.path() == b"/healthz":
                 is_up = self.is_ready and not self.is_draining
                 client.respond(200 if is_up else 503, b"ok\n" if is_up else b"not ready\n")
--- a/elderhub/config.py
+++ b/elderhub/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,6 +16,7 @@
 from .wire import Address, parse_address
 
 MIN_SOCKETS = 64  # file descriptors
+DEFAULT_MEMORY_MB = 192.0
 ADDRESS_FORM = "host:port, the port from 1 to 65535"  # for error messages
 FIELD_ERRORS = (*PARSE_ERRORS, OverflowError)
 
@@ -36,6 +38,7 @@
     peers_all: Address | None
     seed: int
     sockets: int  # file descriptors that the process may hold
+    memory_mb: float  # above which the process is killed
     keepalive_ms: float  # after which backends close an idle connection
     known: Listing  # the cached list of backends
     settings: io.Settings
@@ -124,17 +127,24 @@
         raise ConfigError(
             f"counter: none is named, but settings.familyInfo.counter allows one (allowed: {ADDRESS_FORM})"
         )
+    limits = _object_field(raw, "limits", "limits")
     sockets = _parse_field(
         "limits.sockets",
         f"a whole number from {MIN_SOCKETS} on",
         int,
-        _object_field(raw, "limits", "limits").get("sockets") or 1024,
+        limits.get("sockets") or 1024,
     )
     if sockets < MIN_SOCKETS:
         raise ConfigError(
             f"limits.sockets: {sockets} are too few to serve with (allowed: a whole number "
             f"from {MIN_SOCKETS} on)"
         )
+    memory_mb = _parse_field(
+        "limits.memory_mb",
+        "a number above 0",
+        _parse_memory_mb,
+        limits.get("memory_mb") or DEFAULT_MEMORY_MB,
+    )
     keepalive_ms = (
         _object_field(raw_settings, "policyLimits", "settings.policyLimits").get("keepaliveMs") or 15000.0
     )
@@ -148,12 +158,20 @@
         peers_all=peers_all,
         seed=_parse_field("seed", "hexadecimal digits, as text", int, str(raw.get("seed") or "0"), 16),
         sockets=sockets,
+        memory_mb=memory_mb,
         keepalive_ms=_parse_field("settings.policyLimits.keepaliveMs", "milliseconds", float, keepalive_ms),
         known=_parse_known(_object_field(raw, "known", "known")),
         settings=settings,
     )
 
 
+def _parse_memory_mb(value: object) -> float:
+    memory_mb = float(value)
+    if not (memory_mb > 0.0 and math.isfinite(memory_mb)):
+        raise ValueError(f"{value!r} MB are nothing to serve with")
+    return memory_mb
+
+
 def _parse_known(raw: dict) -> Listing:
     """Parses the cached list of backends. Malformed entries are skipped, as in any list."""
     _parse_field("known.generation", "a whole number", int, raw.get("generation") or 0)
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -24,6 +24,7 @@
 from .config import Config
 from .counter import CounterClient
 from .discovery import DiscoveryClient, Listing
+from .memory import MemoryBudget
 from .peers import Peers
 from .system import REAL_SYSTEM, System
 from .wire import Address, parse_load_report
@@ -37,6 +38,7 @@
 # Client and backend connections: as a share of all descriptors, and at most of those not reserved.
 CLIENT_SOCKET_SHARE, CLIENT_UNRESERVED_SHARE = 0.5, 0.6
 BACKEND_SOCKET_SHARE, BACKEND_UNRESERVED_SHARE = 0.3, 0.4
+OPEN_REQUEST_COPIES = 2  # of its text: as read or as it is forwarded, and as written until it is sent
 # List entries between two calls of gc.freeze(): what is kept of them is never in a cycle, and a collection
 # that walks a long list stops the loop.
 GC_FREEZE_ENTRIES = 512
@@ -77,6 +79,7 @@
         "is_closed",
         "is_reported",
         "timer",
+        "held_bytes",
     )
 
     def __init__(self, name: str, client: Client, message: HttpRequest, deadline_ms: float):
@@ -88,6 +91,7 @@
         # An ended attempt may have run; answered or disconnected; the module knows of the end.
         self.may_have_run = self.is_closed = self.is_reported = False
         self.timer: asyncio.TimerHandle | None = None
+        self.held_bytes = OPEN_REQUEST_COPIES * message.held_bytes()
 
 
 class Host:
@@ -118,13 +122,15 @@
         self._events: deque = deque()
         self._is_dispatching = False
         self._entries_since_freeze = 0  # list entries received since the last gc.freeze()
+        self._memory = MemoryBudget(config.memory_mb)
         self.clients = Clients(
             self,
             settings,
             int(min(config.sockets * CLIENT_SOCKET_SHARE, unreserved * CLIENT_UNRESERVED_SHARE)),
+            self._memory,
             system,
         )
-        self.backends = Backends(settings, config.keepalive_ms, backend_connections, system)
+        self.backends = Backends(settings, config.keepalive_ms, backend_connections, self._memory, system)
         self.counter = (
             CounterClient(config.counter, settings.counter_timeout_ms, self.dispatch)
             if config.counter
@@ -195,14 +201,20 @@
     def _remove_if_finished(self, request: OpenRequest) -> None:
         if request.is_reported and not request.exchanges and self._requests.pop(request.id, None) is not None:
             self._open_ids.discard(request.request_id)
+            self._memory.adjust(-request.held_bytes)
 
     # Requests.
 
     def handle_request(self, client: Client, message: HttpRequest, event: io.RequestArrived) -> None:
-        """Accepts a parsed request and passes it to the module; raises RequestError if its id is in use."""
+        """Accepts a parsed request and passes it to the module.
+
+        Raises RequestError if its id is in use, or if all requests together hold too much memory.
+        """
         # Backends would take its attempts for duplicates of the open request's.
         if message.headers[REQUEST_ID_HEADER] in self._open_ids:
             raise RequestError(409, "a request of this id is open")
+        if not self._memory.has_room():
+            raise RequestError(503, "too much memory in use")
         self._open_ids.add(message.headers[REQUEST_ID_HEADER])
         self._last_request_number += 1
         event.request = f"{self._last_request_number}"
@@ -210,6 +222,7 @@
             event.request, client, message, event.deadline_ms
         )
         client.open_request = request
+        self._memory.adjust(request.held_bytes)
         wait_s = (event.deadline_ms - self.now_ms()) / 1000.0
         request.timer = self._loop.call_later(max(0.0, wait_s), self._on_deadline, request)
         self.dispatch(event)
@@ -290,6 +303,7 @@
         deadline_ms = min(action.deadline_ms or request.client_deadline_ms, request.client_deadline_ms)
         if not request.head:
             request.head = request.message.head()
+            request.message.forwarded_headers.clear()  # not needed twice
         deadline_s = self._loop.time() + (deadline_ms - now) / 1000.0
         exchange = Exchange(
             action.backend, request.head, request.message.body, deadline_s, self._attempt_ended
--- a/emulator/gateway.py
+++ b/emulator/gateway.py
@@ -21,6 +21,7 @@
 
 RESTART_DELAY_MS = 2000.0  # from the end of a gateway's process to the start of the next
 KILL_DELAY_MS = 700.0  # SIGKILL follows SIGTERM after the longest request timeout and this
+MEMORY_MB = 192.0  # a gateway's limit on memory
 DRAIN_NOTICE_MS = 300.0  # from SIGTERM until clients open no new connections
 
 
@@ -75,6 +76,7 @@
             peers_all=None,
             seed=seed,
             sockets=self._world.options.sockets,
+            memory_mb=MEMORY_MB,
             keepalive_ms=KEEPALIVE_MS,
             known=listing,
             settings=self.settings,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -26,6 +26,7 @@
 from cobaltline import interface as io
 from elderhub import backends
 from elderhub.discovery import Listing
+from elderhub.memory import MemoryBudget
 from elderhub.wire import parse_load_report
 
 NOT_PROCESSED_REPLIES = [reply_not_processed(), reply_status(504, b"X-Not-Processed: 1\r\n")]
@@ -366,9 +367,10 @@
 class Sender:
     """A `Backends` in this process, and the exchanges that have ended."""
 
-    def __init__(self, *ports, max_connections=100):
+    def __init__(self, *ports, max_connections=100, memory_mb=192.0):
         settings = io.Settings(connect_timeout_ms=20000.0)
-        self.backends, self.ended = backends.Backends(settings, 60000.0, max_connections), []
+        self.memory, self.ended = MemoryBudget(memory_mb), []
+        self.backends = backends.Backends(settings, 60000.0, max_connections, self.memory)
         self.update_list(*ports)
 
     def update_list(self, *ports):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -17,7 +17,7 @@
         "discovery": "127.0.0.1:8500",
         "counter": "127.0.0.1:6400",
         "seed": "8c1f30d27a5be964",
-        "limits": {"sockets": 900},
+        "limits": {"sockets": 900, "memory_mb": 80},
         "peer_listen": "127.0.0.1:7946",
         "peers": ["127.0.0.1:7946", "127.0.0.2:7946"],
         "peers_all": "127.3.255.1:7946",
@@ -40,7 +40,11 @@
     config = load(tmp_path, raw_config())
     assert config.listen == ("127.0.0.1", 7070) and config.discovery == ("127.0.0.1", 8500)
     assert config.counter == ("127.0.0.1", 6400) and config.peers_all == ("127.3.255.1", 7946)
-    assert config.seed == 0x8C1F30D27A5BE964 and config.sockets == 900 and config.keepalive_ms == 60000.0
+    assert (
+        config.seed == 0x8C1F30D27A5BE964
+        and (config.sockets, config.memory_mb) == (900, 80.0)
+        and config.keepalive_ms == 60000.0
+    )
     assert config.known.addresses == {"a": ("127.0.0.9", 80)} and config.settings.plans["basic"].burst == 2.0
 
 
@@ -85,6 +89,9 @@
     "settings.report.columns: 5": raw_config(settings=settings(report={"columns": 5})),
     "limits: 8": raw_config(limits=8),
     "limits.sockets: 8 are too few": raw_config(limits={"sockets": 8}),
+    "limits.memory_mb: could not convert": raw_config(limits={"memory_mb": "much"}),
+    "limits.memory_mb: -1 MB": raw_config(limits={"memory_mb": -1}),
+    "limits.memory_mb: nan MB": raw_config(limits={"memory_mb": float("nan")}),
     "seed: ": raw_config(seed="xyz"),
     "known: [1]": raw_config(known=[1]),
     "known.instances: ": raw_config(known={"instances": 3}),
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -173,6 +173,7 @@
         module = gateway._module
         assert not gateway._open_ids and not module.requests and not module.in_flight and not module.calls
         assert gateway._module.attempts_out == 0 and not gateway._events
+        assert gateway._memory.held_bytes == 0
         gateway.clients.stop_listening()
 
     run(scene)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -95,12 +95,70 @@
     run(scene)
 
 
+# The first has few connections and much input on each; the second many, for the lowest limit on memory.
+BUDGET_CASES = {
+    "few connections": ({"cores": 1.0, "memory_mb": 32, "sockets": 256}, 100, 8),
+    "many connections": ({"cores": 1.0, "memory_mb": 32, "sockets": 1024}, 380, 2),
+}
+
+
+@pytest.mark.parametrize("where", ["head", "body"])
+@pytest.mark.parametrize("limits,client_count,request_count", BUDGET_CASES.values(), ids=BUDGET_CASES)
+def test_whole_requests_that_wait_stay_under_the_limit_on_memory(limits, client_count, request_count, where):
+    # Guards against limits for each connection alone: the requests of all took 57 to 180 MB of 32.
+    async def scene():
+        async with World({"b1": Backend(HeldReply())}, limits=limits) as world:
+            never = asyncio.Event()
+            world.counter.answer = lambda line: never.wait()  # the requests wait for their quota
+            padding = {"X_Padding": "x" * 60_000} if where == "head" else {"body": b"x" * 60_000}
+            data = [
+                b"".join(
+                    request("hold", plan="basic", X_Timeout="2.0", **padding) for _ in range(request_count)
+                )
+                for _ in range(client_count)
+            ]
+            statuses = await send_all(world, data)
+            assert set(statuses) == {503}
+            assert await world.health() == 200
+
+    run(scene)
+
+
+def test_each_request_refused_for_memory_gets_its_answer_in_order():
+    async def scene():
+        held_reply = HeldReply()
+        limits = {"cores": 1.0, "memory_mb": 4, "sockets": 1024}  # 1 MB for requests
+        async with World({"b1": Backend(held_reply)}, limits=limits) as world:
+            clients = [await world.connect() for _ in range(20)]
+            clients[0].send(request("hold", name="open"))
+            await held_reply.reached.wait()
+            body = b"x" * 30_000
+            clients[0].send(b"".join(request("hold", name=f"r{i}", body=body) for i in range(4)))
+            for number, client in enumerate(clients[1:]):
+                client.send(request("hold", name=f"c{number}", body=b"x" * 60_000)[:-1])
+            assert (await clients[1].read_response()).status == 503  # one of the largest
+            held_reply.release.set()
+            answers = [await clients[0].read_response() for _ in range(5)]
+            assert answers[0].status == 200 and {answer.status for answer in answers} <= {200, 503}
+            clients[0].send(request("hold", name="next"))
+            assert (await clients[0].read_response()).status == 200
+
+    run(scene)
+
+
 RESPONSES_WITHOUT_END = {
     "head": b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 16_000,
     "body": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 18_000,
 }
 
 
+async def reply_in_parts(received, writer):
+    """Replies with a response whose last byte comes a little later than the rest."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 59_999)
+    await asyncio.sleep(0.3)
+    writer.write(b"x")
+
+
 @pytest.mark.parametrize("data", RESPONSES_WITHOUT_END.values(), ids=RESPONSES_WITHOUT_END.keys())
 def test_many_short_lines_or_chunks_of_responses_do_not_take_many_times_their_size(data, monkeypatch):
     # Guards against objects kept for each line or chunk: 60 malformed responses took 45 to 60 MB.
@@ -127,3 +185,18 @@
         backend.server.close()
 
     run(scene)
+
+
+def test_an_incomplete_response_for_which_there_is_no_memory_is_given_up():
+    async def scene():
+        backend = await Backend(reply_in_parts).start()
+        sender = Sender(backend.port, memory_mb=4.0)  # 1 MB for requests and responses
+        for _ in range(40):
+            sender.send(0)
+        await wait_until(lambda: len(sender.ended) == 40)
+        outcomes = sender.outcomes()
+        assert io.Outcome.UNUSABLE_RESPONSE in outcomes and io.Outcome.OK in outcomes
+        assert sender.memory.held_bytes == 0
+        backend.server.close()
+
+    run(scene)
