Drop a repeat of a keyed request that can't be sent before its key expires

Cause: a connection may open long after an attempt was decided on. The module checks the key's lifetime as it decides; once the connection had opened, the host looked at the client and the deadline again, but knew nothing of the key. A trace shows the decision at 0.50 s and the write at 1.50 s of a key's 1.0 s.

Change: Send says until when the last byte has to be sent, for a repeat of a keyed request the same time that the decision uses. The host drops what is not sent completely by then, waiting or partly written, as NOT_SENT, and the client gets its answer at that time.

It holds as the check is at the write itself, whatever delays it before.

--- a/cobaltline/gateway.py
+++ b/cobaltline/gateway.py
@@ -52,6 +52,7 @@
 MAX_RETRY_TOKENS = 10.0
 MAX_PENALTY_FACTOR = 8.0  # highest latency assumed of a failing backend, in target latencies
 FAILED_LOAD_FACTOR = 4.0  # weight of open attempts at a backend whose last attempt failed
+KEY_LIFETIME_SHARE = 0.95  # of an idempotency key's lifetime: a repeat is sent before this, as it takes time
 MAX_UNUSABLE_RESPONSES = 3  # in a row, without a penalty for the backend
 CROSS_ZONE_FACTOR = 1.15  # applied to the latency of backends in other zones if that traffic has a price
 # With more backends than this, candidates are sampled: own attempts say too little about each.
@@ -122,6 +123,15 @@
         """The first attempt that may have been executed; it sets the scope and age of an idempotency key."""
         return next((a for a in self.attempts if a.may_have_run), None)
 
+    def send_before(self) -> float:
+        """Until when a further attempt may be sent: unlimited, unless it would repeat a keyed request."""
+        if self.request_class.idempotency is not Idempotency.KEYED:
+            return math.inf
+        first_run = self.first_possible_run()
+        if first_run is None:
+            return math.inf
+        return first_run.sent_at + self.request_class.key_ttl_ms * KEY_LIFETIME_SHARE
+
     def may_reject(self) -> bool:
         """Whether a retry by the client is safe, so that the request may be rejected instead of failed."""
         anywhere = (
@@ -885,13 +895,9 @@
         Backends that the request tried before are left out. A keyed request stays in the scope of its key
         and is not sent again after the key expires.
         """
-        first_run, request_class = request.first_possible_run(), request.request_class
-        if (
-            first_run is not None
-            and request_class.idempotency is Idempotency.KEYED
-            and now >= first_run.sent_at + request_class.key_ttl_ms * 0.95
-        ):
+        if now >= request.send_before():
             return None
+        first_run, request_class = request.first_possible_run(), request.request_class
         tried_ids = {a.backend.id for a in request.attempts}
         candidates = self.usable
         if (
@@ -984,7 +990,7 @@
 
     def send_attempt(self, now: float, request: Request, backend: TrackedBackend) -> None:
         """Send a request to a backend, and set the timer for a late answer."""
-        attempt = Attempt(backend, len(request.attempts), now)
+        attempt, send_before = Attempt(backend, len(request.attempts), now), request.send_before()
         if not request.attempts:
             self.retry_tokens = min(MAX_RETRY_TOKENS, self.retry_tokens + RETRY_TOKENS_PER_REQUEST)
             rate = self.send_rate * 0.5 ** ((now - self.send_rate_at) / AVERAGING_MS)
@@ -998,7 +1004,7 @@
         self.send_credit = max(0.0, self.send_credit - 1.0)
         request.bucket.open_count += 1
         backend.cold_tokens -= 1.0
-        self.actions.append(io.Send(request.id, backend.id, request.deadline_at))
+        self.actions.append(io.Send(request.id, backend.id, request.deadline_at, send_before))
         self.schedule(
             now + self.mean_latency_ms + TIMEOUT_DEVIATIONS * self.latency_dev_ms,
             self.on_answer_overdue,
--- a/cobaltline/interface.py
+++ b/cobaltline/interface.py
@@ -268,11 +268,16 @@
 
 @dataclass(slots=True)
 class Send:
-    """Send the request to a backend; its attempts are numbered from 0 in the order of their `Send`."""
+    """Send the request to a backend; its attempts are numbered from 0 in the order of their `Send`.
+
+    The host may need time before it can send, as for a new connection. If the last byte is not sent before
+    `send_before_ms`, the attempt is dropped and ends with `NOT_SENT`.
+    """
 
     request: str
     backend: str
     deadline_ms: float = 0.0  # clock time; 0 = the client's deadline
+    send_before_ms: float = math.inf  # clock time
 
 
 @dataclass(slots=True)
--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+import math
 import select
 from collections.abc import Callable
 
@@ -31,7 +32,8 @@
 class Exchange:
     """One request to one backend and its response, an attempt or a probe.
 
-    It ends exactly once, by a call of `on_done` with the exchange itself. `deadline_s` is in loop time.
+    It ends exactly once, by a call of `on_done` with the exchange itself. `deadline_s` and `send_before_s`
+    are loop times; it is dropped if its last byte is not sent before the latter.
     `request`, `attempt_number` and `started_ms` belong to the caller.
     """
 
@@ -40,6 +42,7 @@
         "head",
         "body",
         "deadline_s",
+        "send_before_s",
         "on_done",
         "connection",
         "is_sent",
@@ -70,6 +73,7 @@
             deadline_s,
             on_done,
         )
+        self.send_before_s = math.inf
         self.connection: Connection | None = None  # from the start of writing the request
         self.is_sent = False  # the last byte has left the write buffer: the backend may run it from now on
         self.is_done, self.outcome = False, io.Outcome.TIMEOUT
@@ -98,6 +102,11 @@
         if not self.is_sent:
             self.abandon(io.Outcome.NOT_SENT)
 
+    def withdraw_if_late(self, now_s: float) -> None:
+        """Abandons the exchange if it should have been sent by now (loop time) and has not been."""
+        if now_s >= self.send_before_s:
+            self.withdraw_if_unsent()
+
     def on_timeout(self) -> None:
         """Abandons the exchange at its deadline."""
         self.abandon(io.Outcome.TIMEOUT if self.is_sent else io.Outcome.CONNECT_FAILED)
@@ -364,10 +373,15 @@
         self._backends.open_or_opening.pop(exchange, None)
 
     def connection_opened(self, connection: Connection, exchange: Exchange) -> None:
-        """Starts the exchange that the connection was opened for, unless it is not needed any more."""
+        """Starts the exchange that the connection was opened for, unless it is not needed any more.
+
+        The connection may have come up long after the attempt was decided on: what was checked then is
+        checked again.
+        """
         self._end_opening(exchange)
         self.connections.add(connection)
         self._backends.open_or_opening[connection] = self
+        exchange.withdraw_if_late(self.loop.time())
         if self.is_closed:
             connection.abort()
         elif exchange.is_done or exchange.is_wanted is not None and not exchange.is_wanted():
@@ -520,18 +534,33 @@
         return bool(self._endpoints)
 
     def send(self, exchange: Exchange) -> None:
-        """Sends an exchange to its backend; it fails at once for an unknown backend or a passed deadline."""
+        """Sends an exchange to its backend; it ends at once for an unknown backend or if it is too late."""
         pool = self._pools.get(exchange.backend)
         if pool is None and exchange.backend in self._endpoints:
             address, _ = self._endpoints[exchange.backend]
             pool = self._pools[exchange.backend] = Pool(self, address)
-        wait_s = exchange.deadline_s - self.loop.time()
-        if pool is None or wait_s <= 0:
+        now_s = self.loop.time()
+        if pool is None or exchange.deadline_s <= now_s:
             exchange.end(io.Outcome.CONNECT_FAILED)
             return
-        exchange.timer = self.loop.call_later(wait_s, exchange.on_timeout)
+        exchange.withdraw_if_late(now_s)
+        if exchange.is_done:
+            return
+        if exchange.send_before_s < exchange.deadline_s:
+            exchange.timer = self.loop.call_later(
+                exchange.send_before_s - now_s, self._on_send_limit, exchange
+            )
+        else:
+            exchange.timer = self.loop.call_later(exchange.deadline_s - now_s, exchange.on_timeout)
         pool.send(exchange)
 
+    def _on_send_limit(self, exchange: Exchange) -> None:
+        """Withdraws an exchange that is not sent completely; any other may take until its deadline."""
+        exchange.withdraw_if_unsent()
+        if not exchange.is_done:
+            wait_s = max(0.0, exchange.deadline_s - self.loop.time())
+            exchange.timer = self.loop.call_later(wait_s, exchange.on_timeout)
+
     def probe(self, backend: str, on_done: Callable[[Exchange], None]) -> None:
         """Asks a backend for its load or health; `on_done` is called with the exchange once it has ended."""
         head = b"GET %b HTTP/1.1\r\nHost: backend\r\n" % self._path
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -304,10 +304,12 @@
         if not request.head:
             request.head = request.message.head()
             request.message.forwarded_headers.clear()  # not needed twice
-        deadline_s = self._loop.time() + (deadline_ms - now) / 1000.0
+        loop_now_s = self._loop.time()
+        deadline_s = loop_now_s + (deadline_ms - now) / 1000.0
         exchange = Exchange(
             action.backend, request.head, request.message.body, deadline_s, self._attempt_ended
         )
+        exchange.send_before_s = loop_now_s + (action.send_before_ms - now) / 1000.0
         exchange.request, exchange.attempt_number, exchange.started_ms = request, request.attempt_count, now
         exchange.is_wanted = functools.partial(self._is_wanted, request)
         request.exchanges[request.attempt_count] = exchange
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -381,10 +381,12 @@
         ):
             pool.close()
 
-    def send(self, number, body=b""):
+    def send(self, number, body=b"", send_within_s=float("inf"), timeout_s=20.0):
         head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n" % len(body)
-        deadline_s = asyncio.get_running_loop().time() + 20.0
-        exchange = backends.Exchange(f"b{number}", head, body, deadline_s, self.ended.append)
+        now_s = asyncio.get_running_loop().time()
+        exchange = backends.Exchange(f"b{number}", head, body, now_s + timeout_s, self.ended.append)
+        if send_within_s != float("inf"):
+            exchange.send_before_s = now_s + send_within_s
         self.backends.send(exchange)
         return exchange
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -197,8 +197,8 @@
 class InProcessGateway:
     """A `Host` in this process, with backends, a counter and a listening socket."""
 
-    def __init__(self, tmp_path, cancel=True, more=0):
-        self._path, self._cancel, self._more = tmp_path, cancel, more
+    def __init__(self, tmp_path, cancel=True, more=0, **settings_changes):
+        self._path, self._cancel, self._more, self._settings = tmp_path, cancel, more, settings_changes
 
     async def __aenter__(self):
         self.backends = [await Backend().start() for _ in range(1 + self._more)]
@@ -209,7 +209,7 @@
                 Discovery().entry(f"b{i}", backend.port) for i, backend in enumerate(self.backends)
             ],
         }
-        limits = {"policyLimits": {"cancel": self._cancel, "connectTimeoutMs": 30000.0}}
+        limits = {"policyLimits": {"cancel": self._cancel, "connectTimeoutMs": 30000.0}} | self._settings
         config = load(
             self._path,
             raw_config(known=known, counter=f"127.0.0.1:{self.counter.port}", settings=settings(**limits)),
