Fail a keyed request that may have run once its key has expired

A client was told by 503 that a retry is harmless although backends would apply it again.

Change: a keyed request that may have run is refused only while its key is valid, by the time that also ends its repeats, and answered as failed from then on.

--- a/cobaltline/gateway.py
+++ b/cobaltline/gateway.py
@@ -132,16 +132,18 @@
             return math.inf
         return first_run.sent_at + self.request_class.key_ttl_ms * KEY_LIFETIME_SHARE
 
-    def may_reject(self) -> bool:
-        """Whether a retry by the client is safe, so that the request may be rejected instead of failed."""
-        anywhere = (
-            self.request_class.idempotency is Idempotency.KEYED and self.request_class.key_scope == "all"
-        )
-        return (
-            anywhere
-            or self.request_class.idempotency is Idempotency.SAFE
-            or self.first_possible_run() is None
+    def may_reject(self, now: float) -> bool:
+        """Whether a retry by the client is safe, so that the request may be rejected instead of failed.
+
+        The client may retry anywhere, but as little as the gateway after the key has expired.
+        """
+        request_class = self.request_class
+        if request_class.idempotency is Idempotency.SAFE or self.first_possible_run() is None:
+            return True
+        is_keyed_anywhere = (
+            request_class.idempotency is Idempotency.KEYED and request_class.key_scope == "all"
         )
+        return is_keyed_anywhere and now < self.send_before()
 
 
 class Gateway:
@@ -1178,7 +1180,7 @@
 
     def reject_or_fail(self, now: float, request: Request) -> None:
         """Answer a request without a response: `Reject` where a retry is safe, else `Fail`."""
-        self.finish(now, request, io.Reject(request.id) if request.may_reject() else io.Fail(request.id))
+        self.finish(now, request, io.Reject(request.id) if request.may_reject(now) else io.Fail(request.id))
 
     def finish(self, now: float, request: Request, answer) -> None:
         """End a request: refund what it did not use, answer it, and cancel its open attempts."""
--- a/tests/test_key_expiry.py
+++ b/tests/test_key_expiry.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from helpers import GatewayHarness, of_type
+from helpers import GatewayHarness, final_answers, of_type
 from test_backends import Sender
 from test_host import InProcessGateway
 from world import CLASSES, Backend, request, run, wait_until
@@ -108,3 +108,14 @@
             assert repeat.send_before_ms == float("inf")
         else:  # the key is valid for 2 s
             assert sent_at + 1800.0 <= repeat.send_before_ms < sent_at + 2000.0
+
+
+@pytest.mark.parametrize("elapsed_ms,answer", [(1000.0, io.Reject), (2500.0, io.Fail)])
+def test_a_keyed_request_that_may_have_run_is_refused_only_while_its_key_is_valid(elapsed_ms, answer):
+    # Guards against an answer that calls a retry harmless although the key has expired.
+    keyed = io.RequestClass("hold", 4000.0, 4000.0, io.Idempotency.KEYED, "all", 2000.0)
+    harness = GatewayHarness(("b1",), classes={"hold": keyed})
+    name, _ = harness.request(kind="hold")
+    harness.now += elapsed_ms
+    harness.end_attempt(name, 0, io.Outcome.ERROR)
+    assert [type(action) for action in final_answers(harness.actions, name)] == [answer]
