--- a/cobaltline/gateway.py
+++ b/cobaltline/gateway.py
@@ -51,7 +51,8 @@
 RETRY_TOKENS_PER_REQUEST = 0.1  # added to the budget of retries and hedges
 MAX_RETRY_TOKENS = 10.0
 MAX_PENALTY_FACTOR = 8.0  # highest latency assumed of a failing backend, in target latencies
-FAILED_LOAD_FACTOR = 4.0  # weight of open attempts at a backend whose last attempt failed
+# Weight of open attempts at a backend whose last attempt failed: few at a time try it until one succeeds.
+FAILED_LOAD_FACTOR = 4.0
 KEY_LIFETIME_SHARE = 0.95  # of an idempotency key's lifetime: a repeat is sent before this, as it takes time
 MAX_UNUSABLE_RESPONSES = 3  # in a row, without a penalty for the backend
 CROSS_ZONE_FACTOR = 1.15  # applied to the latency of backends in other zones if that traffic has a price
@@ -72,7 +73,8 @@
 STALL_MS = 100.0  # a timer that fires later than this indicates that the gateway process stalled
 CLOCK_SEED_MASK = 0x5BD1E995  # gives the fleet clock a random sequence of its own
 CUSTOMER_IDLE_MS = 10000.0  # idle customers are dropped after this time; also the interval between sweeps
-FILLED_CUSTOMER_IDLE_MS = 120000.0  # for customers whose bucket was well filled
+# For customers whose bucket was well filled: a gateway of a large set sees each of them seldom.
+FILLED_CUSTOMER_IDLE_MS = 120000.0
 MAX_RESUBSCRIBE_DELAY_MS = 2500.0  # after a failed request for the list; changes must be followed within 6 s
 
 
@@ -581,7 +583,7 @@
         """Borrow elsewhere after a home gateway did not answer; skip it after a second timeout."""
         if nonce in self.pending_peer_borrows:
             bucket, _, home = self.pending_peer_borrows.pop(nonce)
-            # A single message may have been lost.
+            # A single message may have been lost; after two, the gateway may be stopped, stalled or cut off.
             self.peer_skipped_until[home] = now + PEER_SKIP_MS if home in self.peer_skipped_until else now
             bucket.pending = 0
             self.request_tokens(now, bucket)
@@ -843,7 +845,8 @@
 
         It at least doubles, up to a bound, and fades with time. This moves traffic away from backends that
         are silent, gone, stalled or full, or that fail at once and would look idle and fast. If all backends
-        fail, none is avoided. `min_latency_ms` is the time already spent waiting.
+        fail, none is avoided. The price: a single slow answer moves traffic away for some seconds.
+        `min_latency_ms` is the time already spent waiting.
         """
         max_latency_ms = MAX_PENALTY_FACTOR * max(self.min_target_ms, self.mean_latency_ms)
         backend.has_failed = True
@@ -1035,7 +1038,8 @@
     def try_again(self, now: float, request: Request, is_free: bool = False) -> bool:
         """Send a further attempt if budget and time allow.
 
-        `is_free` marks a retry after an attempt that was not executed; it takes nothing from the budget.
+        `is_free` marks a retry after an attempt that was not executed; it takes nothing from the budget, as
+        that attempt cost the backends nothing.
         """
         is_exhausted = (
             len(request.attempts) >= self.settings.most_attempts or not is_free and self.retry_tokens < 1.0
@@ -1089,7 +1093,8 @@
         if event.outcome in (Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.OVERLOADED):
             self.penalize(now, backend, 0.0)
         elif event.outcome in (Outcome.UNUSABLE_RESPONSE, Outcome.RESET):
-            # A single one may come from a healthy backend, as when it closes a kept-alive connection.
+            # A single one may come from a healthy backend, as when it closes a kept-alive connection. Where
+            # nearly all are like this, the backend is avoided; one that died refuses the next connection.
             backend.unusable_responses += 1
             if backend.unusable_responses > MAX_UNUSABLE_RESPONSES:
                 self.penalize(now, backend, 0.0)
--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -459,8 +459,9 @@
         self._endpoints: dict[str, tuple[Address, float]] = {}
         self._pools: dict[str, Pool] = {}  # of backends with connections; a sweep removes the others
         self._draining_pools: set[Pool] = set()  # of backends that drain or have left
-        # Over all pools, so that the limit and the longest idle connection are found without a search: what
-        # counts against the limit, and the idle connections, those idle for longest first.
+        # Over all pools, so that the limit and the longest idle connection are found without a search, as a
+        # request to one of many backends mostly needs a new connection: what counts against the limit, and
+        # the idle connections, those idle for longest first.
         self.open_or_opening: dict[Connection | Exchange, Pool] = {}
         self.idle_by_age: dict[Connection, Pool] = {}
         self._tasks: set[asyncio.Task] = set()
--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -202,7 +202,7 @@
 def _parse_quota(text: bytes, settings: io.Settings) -> tuple[float, int, int]:
     """Parses Quota-Info into units and the first gateway and size of the customer's set; raises RequestError.
 
-    This gateway has to be in the set.
+    This gateway has to be in the set, or the load balancer would not have sent the request.
     """
     pairs = [pair.strip().partition(b"=")[::2] for pair in text.split(b",")]
     given = dict(pairs)
--- a/elderhub/config.py
+++ b/elderhub/config.py
@@ -15,7 +15,7 @@
 from .discovery import PARSE_ERRORS, Listing, parse_listing
 from .wire import Address, parse_address
 
-MIN_SOCKETS = 64  # file descriptors
+MIN_SOCKETS = 64  # file descriptors; 24 are open at rest
 DEFAULT_MEMORY_MB = 192.0
 ADDRESS_FORM = "host:port, the port from 1 to 65535"  # for error messages
 FIELD_ERRORS = (*PARSE_ERRORS, OverflowError)
--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -32,8 +32,9 @@
 SHARED_ANSWER_TIMEOUT_S = 3.5  # the same of a service that all gateways share, where calls queue
 MAX_PENDING_WATCHES = 3  # earlier watches of a shared service that may still be answered
 STALL_RECHECK_S = 0.001  # timers run before input that arrived in a stall of the loop; this lets it be read
-CONNECT_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.1  # before a new watch of an agent of the gateway's own
+CONNECT_TIMEOUT_S = 1.0  # the agent is near: a connection that is not open by then never opens
+# Before a new watch of an agent of the gateway's own, soon, as what the agent has counts as announced.
+RETRY_DELAY_S = 0.1
 # First delay before a new watch of a shared service: a share of the polling interval, with an upper bound.
 SHARED_RETRY_SHARE = 0.25
 MAX_FIRST_SHARED_RETRY_S = 2.5
@@ -84,7 +85,7 @@
             started_ms=float(raw.get("startedAtMs") or 0.0),
         )
         return backend, None if backend.state is io.BackendState.REMOVED else parse_address(raw["hostPort"])
-    except PARSE_ERRORS as error:
+    except PARSE_ERRORS as error:  # one malformed entry must not hide the others
         throttled_log.warning("discovery: skipping malformed entry %.200r: %r", raw, error)
         return None
 
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -40,7 +40,7 @@
 BACKEND_SOCKET_SHARE, BACKEND_UNRESERVED_SHARE = 0.3, 0.4
 OPEN_REQUEST_COPIES = 2  # of its text: as read or as it is forwarded, and as written until it is sent
 # List entries between two calls of gc.freeze(): what is kept of them is never in a cycle, and a collection
-# that walks a long list stops the loop.
+# that walks a long list stops the loop: 30 ms with 26,000 entries.
 GC_FREEZE_ENTRIES = 512
 
 
--- a/elderhub/lists.py
+++ b/elderhub/lists.py
@@ -7,8 +7,8 @@
 import re
 from collections.abc import Iterator
 
-MAX_ENTRY_CHARS = 1 << 16  # of one entry, and of all of an object that is not an entry
-MAX_ENTRIES = 1 << 17  # of one object
+MAX_ENTRY_CHARS = 1 << 16  # of one entry (usually under 300), and of all of an object that is not an entry
+MAX_ENTRIES = 1 << 17  # of one object: five times the design size
 MAX_TOKEN_CHARS = 16  # an error farther than this from the end of the text is not caused by truncation
 
 _WHITESPACE = re.compile(r"[ \t\r\n]*")
--- a/scale/backends.py
+++ b/scale/backends.py
@@ -9,12 +9,12 @@
 
 from .clock import Clock
 
-MAX_PENDING_PER_CORE = 32  # requests being served or queued
+MAX_PENDING_PER_CORE = 32  # requests being served (4 to 12 at the site) or queued (11 to 38)
 SPEED_RANGE = (0.85, 1.1)  # relative speed of a backend, drawn uniformly
 COLD_FROM, COLD_MS = 0.24, 12000.0  # share of its speed at which a backend starts; duration of the slow start
 # A cold backend fails if it receives more than this multiple of its present capacity within this span.
 FALL_MULTIPLE, FALL_MS = 3.0, 3000.0
-MAX_CONNECTIONS_PER_CORE = 640
+MAX_CONNECTIONS_PER_CORE = 640  # 470 to 830 at the site
 HANDSHAKE_RTTS, HANDSHAKE_MS = 2.0, 1.0  # round trips, and processor time of the backend
 CONNECT_TIMEOUT_MS = 250.0
 KEEPALIVE_MS = 15000.0  # a backend closes a connection after this idle time
--- a/scale/clients.py
+++ b/scale/clients.py
@@ -23,7 +23,8 @@
 MAX_RETRIES = 2
 BACKOFF_RANGE_MS = (25.0, 200.0)  # before the first retry; doubles with each further one
 HONOURED_RETRY_AFTER_SHARE = 0.5  # share of the retries that wait as long as `Retry-After` says
-DOWN_DETECTION_MS = 1500.0  # until the load balancer in front notices that a gateway is down
+# Until the load balancer in front notices that a gateway is down; 0.86 to 3.4 s at the site.
+DOWN_DETECTION_MS = 1500.0
 OTHER_GATEWAY_SHARE = 0.3  # share of the retries that go to a random gateway of the set
 
 
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -17,7 +17,7 @@
 from .clients import REQUEST_KINDS, Try
 
 SWEEP_INTERVAL_MS = 1000.0  # between two removals of idle connections (as `elderhub.backends`)
-ERROR_SHARE = 0.001  # share of the responses of backends that are errors
+ERROR_SHARE = 0.001  # share of the responses of backends that are errors; 0 to 0.002 at the site
 # An overload of a cold backend is a violation if more than this share of the load came from gateways that had
 # been told of its start.
 OVERLOAD_INFORMED_SHARE = 2.0 / 3.0
--- a/scale/links.py
+++ b/scale/links.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 # One-way delays.
-SAME_ZONE_DELAY_MS = 0.2
-SAME_REGION_DELAY_MS = 2.0  # between zones of one region
-CROSS_REGION_DELAY_MS = 15.0
+SAME_ZONE_DELAY_MS = 0.2  # 0.08 to 0.35 at the site
+SAME_REGION_DELAY_MS = 2.0  # between zones of one region; 1.4 to 2.6 at the site
+CROSS_REGION_DELAY_MS = 15.0  # some thousand km of fibre
 
 
 class Links:
--- a/scale/real.py
+++ b/scale/real.py
@@ -26,11 +26,11 @@
 from .standins import LOOPBACK_HOST, BackendList, Backends, Counter, DiscoveryAgent
 
 COMMAND = "python -m scale.real"
-REQUESTS_PER_S = 61.0  # of one gateway of the design at its peak
+REQUESTS_PER_S = 61.0  # of one gateway of the design at its peak: 190,000 over 3,100
 CHANGES_PER_S = 20.0
 LIST_INTERVAL_S = 1.0  # minimum time between two full lists
 CHANGES_PER_DAY = 5900  # of the design
-WORST_MINUTE_CHANGES = 60  # changes in the worst minute of a day
+WORST_MINUTE_CHANGES = 60  # changes in the worst minute of a day: assumed, about 15 times the mean
 WAIT_LIMIT_S = 30.0  # only reached if something hangs
 PROPAGATION_LIMIT_S = 4.0  # after this, idle connections may end for reasons other than a change
 CUSTOMERS_TIME_LIMIT_S = 50.0  # for the requests of all customers
