Count the lines that the parser holds in all parts of a request

Found by reading again: a trailer that never ends lay in the parser uncounted, up to 128 KB on each connection, and the target of a request that had been refused for memory went on growing, up to 64 KB.

Cause: what the parser holds was only counted while a head was read, and only headers and bodies were dropped after a refusal.

Change: what the parser may hold is all input of a request less what it has passed on, in head, body and trailers; the target is dropped like the rest.

--- a/elderhub/checks.py
+++ b/elderhub/checks.py
@@ -103,6 +103,11 @@
         self.forwarded_headers = bytearray()  # header lines
         self.body = bytearray()
 
+    def add_target(self, part: bytes) -> None:
+        """Adds a part of the target."""
+        if self.refusal is None:
+            self.target += part
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Adds a header line; raises RequestError if the header may be given only once and was before."""
         if self.refusal is not None:
--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -101,7 +101,8 @@
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._incoming: HttpRequest | None = None  # being parsed
-        self._part_bytes = self._incoming_bytes = 0  # of its head or its body so far; raw, since it began
+        self._part_bytes = self._parsed_bytes = 0  # of its head or its body so far; of all of it
+        self._incoming_bytes = 0  # raw, since it began
         self._carried_bytes = 0  # raw, of the input in which it began behind another request
         self._header_lines = 0  # of its head and trailers so far
         self._queued_bytes = 0  # raw, since requests began to queue
@@ -251,24 +252,23 @@
             self._clients.memory.adjust(change_bytes)
 
     def _parser_bytes(self) -> int:
-        """Returns the most that the parser may hold: a header line that is not complete yet."""
-        if not self._in_head:
-            return 0
-        return max(0, self._incoming_bytes + self._carried_bytes - self._part_bytes)
+        """Returns the most that the parser may hold: an incomplete line of the head or the trailers."""
+        return max(0, self._incoming_bytes + self._carried_bytes - self._parsed_bytes)
 
     def on_message_begin(self) -> None:
         if len(self._queue) >= MAX_QUEUED_REQUESTS or self._queued_bytes > MAX_QUEUED_BYTES:
             raise RequestError(429, "too many requests at once")
-        self._incoming, self._part_bytes, self._in_head = HttpRequest(), 0, True
-        self._header_lines = 0
+        self._incoming, self._in_head = HttpRequest(), True
+        self._part_bytes = self._parsed_bytes = self._header_lines = 0
         self.has_sent = True
 
     def on_url(self, url: bytes) -> None:
         self._count_bytes(len(url), 431)
-        self._incoming.target += url
+        self._incoming.add_target(url)
 
     def _count_bytes(self, size: int, status: int) -> None:
         self._part_bytes += size
+        self._parsed_bytes += size
         if self._part_bytes > MAX_MESSAGE_BYTES:
             raise RequestError(status, "the request is too large")
 
@@ -276,8 +276,9 @@
         self._header_lines += 1
         if self._header_lines > MAX_HEADER_LINES:
             raise RequestError(431, "too many header lines")
-        if not self._in_head:
-            return  # trailers are ignored
+        if not self._in_head:  # trailers are ignored
+            self._parsed_bytes += len(name) + len(value)
+            return
         self._count_bytes(len(name) + len(value), 431)
         self._incoming.add_header(name, value)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -125,6 +125,19 @@
     run(scene)
 
 
+def test_lines_that_the_parser_holds_count_as_memory():
+    # Guards against trailers that never end: the parser keeps them until their line is complete.
+    async def scene():
+        limits, client_count, _ = BUDGET_CASES["many connections"]
+        head = request("hold", Content_Length=None, Transfer_Encoding="chunked")
+        data = head + b"1\r\na\r\n0\r\nX-Trailer: " + b"x" * 120_000
+        async with World({"b1": Backend()}, limits=limits) as world:
+            statuses = await send_all(world, [data] * client_count)
+            assert all(status >= 400 for status in statuses)
+
+    run(scene)
+
+
 def test_each_request_refused_for_memory_gets_its_answer_in_order():
     async def scene():
         held_reply = HeldReply()
