Move the reading of requests out of clients.py into a module of its own

Change: RequestReader (elderhub/request_reader.py) parses the input of one connection within the limits on size and passes complete requests on; Client keeps the queue, the responses and the timeouts. No behaviour is changed.

--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -1,4 +1,4 @@
-"""Client connections: parses requests, queues pipelined ones, writes responses, bounds the connections."""
+"""Client connections: queues pipelined requests, writes responses, bounds the connections."""
 
 from __future__ import annotations
 
@@ -11,22 +11,14 @@
 from collections import deque
 from typing import Protocol
 
-import httptools
-
 from cobaltline import interface as io
 
 from .arrival import ArrivalEstimator
-from .checks import (
-    CONTENT_LENGTH_HEADER,
-    EXPECT_HEADER,
-    HttpRequest,
-    Refusal,
-    RequestError,
-    parse_request,
-)
+from .checks import HttpRequest, Refusal, RequestError, parse_request
 from .memory import MemoryBudget
+from .request_reader import RequestReader
 from .system import REAL_SYSTEM, System
-from .wire import MAX_HEADER_LINES, MAX_MESSAGE_BYTES, ThrottledLog
+from .wire import MAX_MESSAGE_BYTES, ThrottledLog
 
 log = logging.getLogger(__name__)
 throttled_log = ThrottledLog(log)
@@ -74,12 +66,6 @@
 STATUS_LINES[405] += b"Allow: GET, POST\r\n"
 
 
-def _refusal_of(error: httptools.HttpParserError) -> Refusal:
-    """Returns the refusal that a callback raised, or else the one of input that can't be parsed."""
-    cause = error.__context__
-    return cause.refusal if isinstance(cause, RequestError) else Refusal(400, "not a request")
-
-
 class RequestHandler(Protocol):
     """What client connections need of the host."""
 
@@ -99,14 +85,8 @@
         self._accepted_at_ms = clients.host.now_ms()
         self._backlogged_since_ms = backlogged_since_ms  # until the first request is read
         self.transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._incoming: HttpRequest | None = None  # being parsed
-        self._part_bytes = self._parsed_bytes = 0  # of its head or its body so far; of all of it
-        self._incoming_bytes = 0  # raw, since it began
-        self._carried_bytes = 0  # raw, of the input in which it began behind another request
-        self._header_lines = 0  # of its head and trailers so far
+        self._reader = RequestReader(self)
         self._queued_bytes = 0  # raw, since requests began to queue
-        self._in_head = False
         self._queue: deque[HttpRequest | Refusal] = deque()
         self._current: HttpRequest | None = None  # being answered
         self.input_bytes = self._held_bytes = 0  # memory held by its input; by its input and output
@@ -128,7 +108,6 @@
         self._clients.connection_closed(self)
         self._is_lost = True
         self._on_disconnect()
-        self._parser = None  # breaks the reference cycle with the parser
 
     def eof_received(self) -> bool:
         """Treats the end of a client's input as its disconnection.
@@ -140,7 +119,8 @@
         return False
 
     def _on_disconnect(self) -> None:
-        self._input_closed, self._current, self._incoming = True, None, None
+        self._input_closed, self._current = True, None
+        self._reader.close()
         self._queue.clear()
         self.update_held_bytes()
         if self.open_request is not None:
@@ -159,29 +139,20 @@
                 # Without reading, a disconnection goes unnoticed, which matters until the last response.
                 (self.transport.pause_reading if self.is_finished else self.transport.abort)()
             return
-        if self.has_sent and self._incoming is None:
+        if self.has_sent and self._reader.incoming is None:
             self.state_since_s = self._clients.loop.time()
-        self._incoming_bytes += len(data)
         self._queued_bytes = self._queued_bytes + len(data) if self._queue else 0
-        try:
-            self._parser.feed_data(data)
-            if self._incoming is not None and not self._incoming_bytes:
-                self._carried_bytes = len(data)
-            if self._incoming is not None and self._incoming_bytes > 2 * MAX_MESSAGE_BYTES:
-                # An endless line triggers no callback of the parser.
-                raise RequestError(431, "the request is too large")
-        except httptools.HttpParserUpgrade:
+        refusal = self._reader.feed(data)
+        if refusal is not None:
+            self._reject_input(refusal)
+        elif self._reader.is_upgrade_offered:
             # The upgrade is ignored: the request is served, and the connection ends.
             self._input_closed, self._queue[-1].keep_alive = True, False
-        except httptools.HttpParserError as error:
-            self._reject_input(_refusal_of(error))
-        except RequestError as error:
-            self._reject_input(error.refusal)
         self._process_next()
 
     def _reject_input(self, refusal: Refusal) -> None:
-        self._input_closed, self._incoming = True, None
-        self._parser = None  # it may hold a part of a line
+        self._input_closed = True
+        self._reader.close()
         self._queue.append(refusal)
 
     def check_timeouts(self, now_s: float) -> None:
@@ -196,7 +167,7 @@
         elif not self.has_sent and age_s >= REQUEST_READ_TIMEOUT_S and not self.has_unread():
             self.transport.close()
         elif (
-            self._incoming is not None
+            self._reader.incoming is not None
             and not self._input_closed
             and age_s >= REQUEST_READ_TIMEOUT_S
             and not self.has_unread()
@@ -212,7 +183,7 @@
             return None
         if not self.has_requested:
             return RANK_UNUSED if now_s - self.state_since_s >= FIRST_BYTE_GRACE_S else None
-        if self._incoming is not None:
+        if self._reader.incoming is not None:
             return RANK_PARTIAL
         return RANK_IDLE if now_s - self.state_since_s >= EVICTABLE_IDLE_S else None
 
@@ -231,19 +202,18 @@
         for item in self._queue:
             if isinstance(item, HttpRequest):
                 item.refuse(refusal)
-        if self._incoming is not None and self._incoming.refusal is None:
-            self._incoming.refuse(refusal)
-        elif self._incoming is not None:
+        incoming = self._reader.incoming
+        if incoming is not None and incoming.refusal is None:
+            incoming.refuse(refusal)
+        elif incoming is not None:
             self._reject_input(refusal)
         self._process_next()
 
     def update_held_bytes(self) -> None:
         """Reports the memory that this connection holds, beside that of its open request."""
-        input_bytes = 0
+        input_bytes = self._reader.held_bytes()
         if self._queue:
-            input_bytes = sum(item.held_bytes() for item in self._queue if isinstance(item, HttpRequest))
-        if self._incoming is not None:
-            input_bytes += self._incoming.held_bytes() + self._parser_bytes()
+            input_bytes += sum(item.held_bytes() for item in self._queue if isinstance(item, HttpRequest))
         output_bytes = 0 if self._is_lost else self.transport.get_write_buffer_size()
         held_bytes = input_bytes + output_bytes
         change_bytes = held_bytes - self._held_bytes
@@ -251,59 +221,24 @@
         if change_bytes:
             self._clients.memory.adjust(change_bytes)
 
-    def _parser_bytes(self) -> int:
-        """Returns the most that the parser may hold: an incomplete line of the head or the trailers."""
-        return max(0, self._incoming_bytes + self._carried_bytes - self._parsed_bytes)
-
-    def on_message_begin(self) -> None:
+    def request_began(self) -> None:
+        """Bounds the requests that wait; called by the reader."""
         if len(self._queue) >= MAX_QUEUED_REQUESTS or self._queued_bytes > MAX_QUEUED_BYTES:
             raise RequestError(429, "too many requests at once")
-        self._incoming, self._in_head = HttpRequest(), True
-        self._part_bytes = self._parsed_bytes = self._header_lines = 0
         self.has_sent = True
 
-    def on_url(self, url: bytes) -> None:
-        self._count_bytes(len(url), 431)
-        self._incoming.add_target(url)
-
-    def _count_bytes(self, size: int, status: int) -> None:
-        self._part_bytes += size
-        self._parsed_bytes += size
-        if self._part_bytes > MAX_MESSAGE_BYTES:
-            raise RequestError(status, "the request is too large")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._header_lines += 1
-        if self._header_lines > MAX_HEADER_LINES:
-            raise RequestError(431, "too many header lines")
-        if not self._in_head:  # trailers are ignored
-            self._parsed_bytes += len(name) + len(value)
-            return
-        self._count_bytes(len(name) + len(value), 431)
-        self._incoming.add_header(name, value)
-
-    def on_headers_complete(self) -> None:
-        self._in_head, self._part_bytes = False, 0
-        if int(self._incoming.headers.get(CONTENT_LENGTH_HEADER, b"0")) > MAX_MESSAGE_BYTES:
-            raise RequestError(413, "the request is too large")
-        expected = self._incoming.headers.get(EXPECT_HEADER, b"").lower() == b"100-continue"
-        if expected and self._current is None and not self._queue:
+    def request_expects_continue(self) -> None:
+        """Asks for the body of a request, unless responses are due before; called by the reader."""
+        if self._current is None and not self._queue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, body: bytes) -> None:
-        self._count_bytes(len(body), 413)
-        self._incoming.add_body(body)
-
-    def on_message_complete(self) -> None:
-        message = self._incoming
-        message.method = self._parser.get_method()
-        message.keep_alive = self._parser.should_keep_alive()
-        message.received_at_ms = self._clients.arrivals.earliest_arrival_ms(
+    def request_completed(self, request: HttpRequest) -> None:
+        """Queues a complete request; called by the reader."""
+        request.received_at_ms = self._clients.arrivals.earliest_arrival_ms(
             self.transport.get_extra_info("socket"), self._accepted_at_ms, self._backlogged_since_ms
         )
         self._backlogged_since_ms = None
-        self._incoming, self._incoming_bytes, self._carried_bytes = None, 0, 0
-        self._queue.append(message)
+        self._queue.append(request)
 
     # Answering.
 
@@ -326,7 +261,8 @@
 
     def is_idle(self) -> bool:
         """Whether no request is being read, queued or answered."""
-        return self._current is None and self._incoming is None and not self._queue and not self.is_finished
+        is_reading = self._reader.incoming is not None
+        return self._current is None and not is_reading and not self._queue and not self.is_finished
 
     def has_unread(self) -> bool:
         """Whether the socket holds input that the loop has not read yet; a close would send a reset."""
@@ -340,7 +276,7 @@
     def respond(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
         """Writes the response to the current request and ends the connection if it is the last one."""
         # Requests read behind this one are answered too, even while the gateway drains.
-        may_close = not self._input_closed and not self._queue and self._incoming is None
+        may_close = not self._input_closed and not self._queue and self._reader.incoming is None
         is_last = (
             self._clients.is_draining
             or self.has_requested
@@ -371,7 +307,7 @@
     def _half_close(self) -> None:
         """Ends the output and discards further input, as closing with unread input would send a reset."""
         self._input_closed = self.is_finished = True
-        self._incoming = None
+        self._reader.close()
         self._queue.clear()
         self.transport.write_eof()
 
