Leave connections alone that hold little when memory is searched for

Found by reading the search again: while open requests alone take the budget, it went on to connections that hold some bytes of a request refused before, and ended them, so that requests sent behind it got no answer.

Cause: what is counted for the parser includes the separators of a head, so that nearly every connection that reads a request holds a little.

Change: the search stops at connections with less than 4 KiB.

Result: the new test reads no answer before (the connection ends) and the two refusals now.

--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -41,6 +41,7 @@
 FIRST_BYTE_GRACE_S = 0.02  # a connection without a request may be evicted after this
 MAX_ACCEPTS_PER_TURN = 16  # connections accepted before any of them is read
 ACCEPT_RETRY_S = 0.005
+MIN_RECLAIM_BYTES = 4096  # a connection that holds less has no requests refused for memory
 BACKLOG = 1024  # connections in the queue of the listening socket
 # Errors of accept that closing other connections cures.
 DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
@@ -451,7 +452,7 @@
             throttled_log.warning("requests hold %d bytes, refusing some", self.memory.held_bytes)
         while not self.memory.is_reclaimed():
             client = max(self._open, key=lambda candidate: candidate.input_bytes, default=None)
-            if client is None or not client.input_bytes:
+            if client is None or client.input_bytes < MIN_RECLAIM_BYTES:
                 return
             client.refuse_unstarted()
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -163,6 +163,27 @@
     run(scene)
 
 
+def test_a_connection_that_holds_little_is_not_ended_while_open_requests_take_the_memory():
+    # Guards against a search for memory that ends connections for the few bytes left of a refused request.
+    async def scene():
+        limits = {"cores": 1.0, "memory_mb": 4, "sockets": 1024}  # 1 MB for requests
+        async with World({"b1": Backend()}, limits=limits) as world:
+            never = asyncio.Event()
+            world.counter.answer = lambda line: never.wait()  # requests wait for their quota
+            body = b"x" * 60_000
+            waiting = [await world.connect() for _ in range(10)]
+            for other in waiting:
+                other.send(request("hold", plan="basic", X_Timeout="1.5", body=body))
+            await asyncio.sleep(0.2)
+            client = await world.connect()
+            client.send(request("hold", name="partial", body=body)[:-1])
+            await asyncio.sleep(0.2)
+            client.send(b"x" + request("hold", name="behind"))
+            assert [(await client.read_response()).status for _ in range(2)] == [503, 503]
+
+    run(scene)
+
+
 RESPONSES_WITHOUT_END = {
     "head": b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 16_000,
     "body": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 18_000,
