Set up a backend that does not read in one place for four tests

Cause: the same lines stood in three tests of the connections to backends, and the tests of key expiry needed them a fourth time.

Change: exchange_with_stopped_reader yields the sender, its exchange and the backend's socket. The assertion that the request is sent, or not, completely now holds in all four; no other assertion is changed.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,7 @@
 """Backend connections: pools and limits, the outcome of each kind of response, and safe retries."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import sys
@@ -394,6 +395,29 @@
         return [exchange.outcome for exchange in self.ended]
 
 
+EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def exchange_with_stopped_reader(is_sent, **options):
+    """Sends a request to a backend that reads nothing; unless `is_sent`, too large to be sent completely.
+
+    Yields the sender, the exchange and the backend's socket. `options` are those of `Sender.send`.
+    """
+    with socket.socket() as listening:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        listening.setblocking(False)
+        sender = Sender(listening.getsockname()[1])
+        exchange = sender.send(0, b"x" * (10 if is_sent else 16_000_000), **options)
+        accepted, _ = await asyncio.get_running_loop().sock_accept(listening)
+        with accepted:
+            await wait_until(lambda: exchange.connection)
+            assert exchange.is_sent is is_sent
+            yield sender, exchange, accepted
+
+
 def test_a_connection_that_opens_after_its_request_ended_serves_the_next_one():
     async def scene():
         backend = await Backend().start()
@@ -428,17 +452,7 @@
 @pytest.mark.parametrize("is_sent,outcome", [(False, io.Outcome.CONNECT_FAILED), (True, io.Outcome.RESET)])
 def test_a_reset_counts_as_a_connect_failure_until_the_last_byte_is_sent(is_sent, outcome):
     async def scene():
-        loop = asyncio.get_running_loop()
-        with socket.socket() as listening:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # too small for the request
-            listening.bind(("127.0.0.1", 0))
-            listening.listen()
-            listening.setblocking(False)
-            sender = Sender(listening.getsockname()[1])
-            exchange = sender.send(0, b"x" * (10 if is_sent else 16_000_000))
-            accepted, _ = await loop.sock_accept(listening)
-            await wait_until(lambda: exchange.connection)
-            assert exchange.is_sent is is_sent
+        async with exchange_with_stopped_reader(is_sent) as (sender, exchange, accepted):
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             accepted.close()
             await wait_until(lambda: exchange.is_done)
@@ -450,21 +464,11 @@
 @pytest.mark.parametrize("is_sent", [False, True])
 def test_a_withdrawal_stops_a_partly_sent_request_but_not_a_sent_one(is_sent):
     async def scene():
-        loop = asyncio.get_running_loop()
-        with socket.socket() as listening:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # too small for the request
-            listening.bind(("127.0.0.1", 0))
-            listening.listen()
-            listening.setblocking(False)
-            sender = Sender(listening.getsockname()[1])
-            exchange = sender.send(0, b"x" * (10 if is_sent else 16_000_000))
-            accepted, _ = await loop.sock_accept(listening)
-            with accepted:
-                await wait_until(lambda: exchange.connection)
-                exchange.withdraw_if_unsent()
-                if is_sent:
-                    await loop.sock_sendall(accepted, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-                await wait_until(lambda: exchange.is_done)
+        async with exchange_with_stopped_reader(is_sent) as (sender, exchange, accepted):
+            exchange.withdraw_if_unsent()
+            if is_sent:
+                accepted.sendall(EMPTY_RESPONSE)
+            await wait_until(lambda: exchange.is_done)
             assert sender.outcomes() == [io.Outcome.OK if is_sent else io.Outcome.NOT_SENT]
 
     run(scene)
@@ -473,18 +477,8 @@
 @pytest.mark.parametrize("is_sent", [False, True])
 def test_a_timeout_counts_as_a_connect_failure_until_the_last_byte_is_sent(is_sent):
     async def scene():
-        loop = asyncio.get_running_loop()
-        with socket.socket() as listening:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            listening.bind(("127.0.0.1", 0))
-            listening.listen()
-            listening.setblocking(False)
-            sender = Sender(listening.getsockname()[1])
-            exchange = sender.send(0, b"x" * (10 if is_sent else 16_000_000))
-            accepted, _ = await loop.sock_accept(listening)
-            with accepted:
-                await wait_until(lambda: exchange.connection)
-                exchange.on_timeout()
+        async with exchange_with_stopped_reader(is_sent) as (sender, exchange, _):
+            exchange.on_timeout()
             assert sender.outcomes() == [io.Outcome.TIMEOUT if is_sent else io.Outcome.CONNECT_FAILED]
 
     run(scene)
--- a/tests/test_key_expiry.py
+++ b/tests/test_key_expiry.py
@@ -1,12 +1,11 @@
 """A keyed request is not repeated once its key may have expired, however late a connection opens."""
 
 import asyncio
-import socket
 import time
 
 import pytest
 from helpers import GatewayHarness, final_answers, of_type
-from test_backends import Sender
+from test_backends import EMPTY_RESPONSE, Sender, exchange_with_stopped_reader
 from test_host import InProcessGateway
 from world import CLASSES, Backend, request, run, wait_until
 
@@ -52,21 +51,13 @@
 def test_a_partly_sent_repeat_is_withdrawn_as_its_key_expires_but_not_a_sent_one(is_sent):
     # Guards against a request whose last byte is sent after its key has expired.
     async def scene():
-        loop = asyncio.get_running_loop()
-        with socket.socket() as listening:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # too small for the request
-            listening.bind(("127.0.0.1", 0))
-            listening.listen()
-            listening.setblocking(False)
-            sender = Sender(listening.getsockname()[1])
-            exchange = sender.send(0, b"x" * (10 if is_sent else 16_000_000), send_within_s=0.2)
-            accepted, _ = await loop.sock_accept(listening)
-            with accepted:
-                await asyncio.sleep(0.4)
-                assert exchange.is_sent is is_sent and exchange.is_done is not is_sent
-                if is_sent:
-                    await loop.sock_sendall(accepted, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-                await wait_until(lambda: exchange.is_done)
+        options = {"send_within_s": 0.2}
+        async with exchange_with_stopped_reader(is_sent, **options) as (sender, exchange, accepted):
+            await asyncio.sleep(0.4)
+            assert exchange.is_sent is is_sent and exchange.is_done is not is_sent
+            if is_sent:
+                accepted.sendall(EMPTY_RESPONSE)
+            await wait_until(lambda: exchange.is_done)
             assert sender.outcomes() == [io.Outcome.OK if is_sent else io.Outcome.NOT_SENT]
 
     run(scene)
