--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,15 +1,20 @@
-"""A late second answer is served to another client: a connection is reused at once where 64 are open."""
+"""A late second answer is served to another client: a connection is reused at once where 64 are open.
+
+From then on each answer on that connection goes to the request behind its own, also one that turns a request
+away: a request that must not run twice is then sent again, though it runs.
+"""
 
 import asyncio
 import random
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from lib2.rig import (  # noqa: E402  # noqa: E402
+from lib2.rig import (  # noqa: E402
     TROUBLE,
     Attempt,
     Gateway,
@@ -18,7 +23,6 @@
     new_id,
     parse_head,
     play,
-    request_class,
     request_text,
 )
 
@@ -26,14 +30,15 @@
 LATE_S = (0.001, 0.003)  # from an answer to its second copy; the pages: "some milliseconds late"
 COPY_SHARE = 0.05  # of the answers
 CORES = 3  # of a backend
-ROOM = 150  # requests that a backend holds, in work and waiting; it turns others away
+ROOM = 70  # requests that a backend holds, in work and waiting (the pages: 45 to 150); it turns others away
 LOAD = 0.8  # of what the backends can do, without the burst
 BACKENDS = 2
 RATE_PER_S = 370.0  # at one gateway; the pages: 140, and up to four times as many
 BURST, BURST_S = 1.5, (6.0, 26.0)  # the pages: "a burst of half as much again"; from and until when
 LOAD_S = 30.0
 WORK_S = LOAD * BACKENDS * CORES / RATE_PER_S  # of a request in the mean: scaled to fit, as on the pages
-TIMEOUT_S = 4.0
+TIMEOUT_S, RESULT_TIMEOUT_S = 4.0, 1.5  # of check-photo and of file-result
+RESULT_SHARE = 0.2  # of the requests are of file-result, which must not run twice
 CUSTOMERS = 400
 
 
@@ -56,22 +61,25 @@
 
     def _arrive(self, data: bytes) -> None:
         self._input += data
-        head, end, _ = self._input.partition(b"\r\n\r\n")
+        head, end, body = self._input.partition(b"\r\n\r\n")
         if not end:
             return
-        self._input = b""  # clients of this case send GET only, one request at a time
         first, headers = parse_head(head)
+        if len(body) < int(headers.get("content-length", "0")):
+            return
+        self._input = b""  # the gateway sends one request at a time
         method, target, _ = first.split(" ")
         self._requests += 1
         if target in ("/load", "/healthz"):
             self._send(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ninflight=1")
             return
-        attempt = Attempt(self._backend.name, method, target, headers, b"", time.monotonic())
-        self._backend.on_attempt(attempt)
+        attempt = Attempt(self._backend.name, method, target, headers, body, time.monotonic())
         done_s = self._backend.queue(self._loop.time())
         if done_s is None:
+            self._backend.record(f"turned away {headers['x-request-id']} at {self._backend.name}")
             self._send(b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
         else:
+            self._backend.on_attempt(attempt)
             self._loop.call_at(done_s, self._answer, attempt, self._requests)
 
     def _answer(self, attempt: Attempt, number: int) -> None:
@@ -179,17 +187,21 @@
         gateways=2,
         backends=[FarBackend(number, world) for number in range(BACKENDS)],
         limits={"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        classes=[request_class("check-photo", "safe", 5000.0, 1200.0, 3.0)],
     )
     gateway, idle, tasks = world.gateways[0], [], set()
     statuses, foreign = {}, []
 
-    async def send(customer: int) -> None:
+    async def send(customer: int, is_result: bool) -> None:
         name = new_id()
-        text = request_text(name, customer, "check-photo", "estandar", timeout_s=TIMEOUT_S)
+        if is_result:
+            body, timeout_s = b'{"result": "passed"}', RESULT_TIMEOUT_S
+            text = request_text(name, customer, "file-result", "estandar", body=body, timeout_s=timeout_s)
+        else:
+            timeout_s = TIMEOUT_S
+            text = request_text(name, customer, "check-photo", "estandar", timeout_s=timeout_s)
         try:
             connection = await connect(gateway, idle)
-            status, body = await asyncio.wait_for(connection.send(text), TIMEOUT_S + 0.5)
+            status, body = await asyncio.wait_for(connection.send(text), timeout_s + 0.5)
         except (OSError, TimeoutError):
             status, body = 0, b""
         statuses[status] = statuses.get(status, 0) + 1
@@ -203,13 +215,20 @@
         due += 1.0 / (RATE_PER_S * (BURST if BURST_S[0] <= due < BURST_S[1] else 1.0))
         number += 1
         await asyncio.sleep(max(0.0, started + due - time.monotonic()))
-        task = asyncio.create_task(send(1 + number % CUSTOMERS))
+        task = asyncio.create_task(send(1 + number % CUSTOMERS, number % int(1 / RESULT_SHARE) == 0))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
     await asyncio.gather(*tasks)
     record(f"answers by status (0: none): {statuses}")
-    if foreign:
-        return f"{len(foreign)} of {statuses[200]} answers with 200 were made for another request"
+    runs = Counter(a.headers["x-request-id"] for a in world.attempts if a.method == "POST")
+    repeated = [name for name, count in runs.items() if count > 1]
+    for name in repeated:
+        record(f"run twice {name}, of a class that must not run twice")
+    if foreign or repeated:
+        return (
+            f"{len(foreign)} of {statuses[200]} answers with 200 were made for another request; "
+            f"{len(repeated)} of {len(runs)} requests of file-result were run twice"
+        )
     return None
 
 
