--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -599,7 +599,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # what was started is ended then too
     try:
         broken = asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except Exception as error:  # a fault of the case itself says nothing about the rule
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return COULD_NOT_RUN
