Keep the delay before a connection is reused where no other may be opened

Cause: a second answer that comes some milliseconds late is noticed because a connection rests for 20 ms after an answer. Pool.send dropped that delay where MAX_CONNECTIONS_PER_BACKEND were open and wrote the next request at once; the late answer was taken for that request's, and so on until the connection ended.

Change: at the limit, as many exchanges wait as there are connections within their delay, in order and for at most 20 ms. What has waited is checked again before it is written, as after the opening of a connection.

--- a/elderhub/backends.py
+++ b/elderhub/backends.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import select
+from collections import deque
 from collections.abc import Callable
 
 import httptools
@@ -24,6 +25,7 @@
 MAX_CONNECTIONS_PER_BACKEND = 64
 BODY_TIMEOUT_S = 0.5  # from the head of a response to the end of its body
 REUSE_DELAY_S = 0.02  # before a connection is reused, since surplus data may arrive after a response
+MIN_WAIT_S = 0.001  # of the timer for exchanges that wait for a connection
 MAX_RESPONSE_BYTES = 2 * MAX_MESSAGE_BYTES  # raw, including heads, interim responses and chunk framing
 SWEEP_INTERVAL_S = 1.0
 UNRETURNED_HEADERS = HOP_BY_HOP_HEADERS | {b"content-length", b"x-server-load", b"x-not-processed"}
@@ -79,7 +81,7 @@
         self.is_done, self.outcome = False, io.Outcome.TIMEOUT
         self.response_headers, self.response_body, self.load_report = b"", b"", None
         self.timer: asyncio.TimerHandle | None = None
-        # Whether the request still needs the response, asked once a new connection is open.
+        # Whether the request still needs the response, asked if it had to wait for its connection.
         self.is_wanted: Callable[[], bool] | None = None
 
     def end(self, outcome: io.Outcome) -> None:
@@ -107,6 +109,14 @@
         if now_s >= self.send_before_s:
             self.withdraw_if_unsent()
 
+    def may_start(self, now_s: float) -> bool:
+        """Returns whether the exchange is still to be sent (`now_s` in loop time) after a wait.
+
+        What was checked as the attempt was decided on may have changed since.
+        """
+        self.withdraw_if_late(now_s)
+        return not self.is_done and (self.is_wanted is None or self.is_wanted())
+
     def on_timeout(self) -> None:
         """Abandons the exchange at its deadline."""
         self.abandon(io.Outcome.TIMEOUT if self.is_sent else io.Outcome.CONNECT_FAILED)
@@ -310,7 +320,11 @@
 
 
 class Pool:
-    """The connections to one backend, and the exchanges that wait for theirs to open."""
+    """The connections to one backend, and the exchanges that wait for one.
+
+    A connection is reused REUSE_DELAY_S after its last response at the earliest. Where no further connection
+    may be opened, as many exchanges wait as there are connections within that delay.
+    """
 
     def __init__(self, backends: Backends, address: Address):
         self.loop, self.poll, self.memory, self._backends = (
@@ -323,33 +337,67 @@
         self.connections: set[Connection] = set()
         self.idle_connections: list[Connection] = []  # the most recently used last
         self.opening: dict[Exchange, asyncio.Task] = {}
+        self._waiting: deque[Exchange] = deque()  # until a connection may be reused
+        self._waiting_timer: asyncio.TimerHandle | None = None
 
     def send(self, exchange: Exchange) -> None:
-        """Sends an exchange over an idle connection, or a new one where none is usable.
+        """Sends an exchange over an idle connection, or a new one where none may be reused.
 
-        Where no connection may be opened, one within its REUSE_DELAY_S is used.
+        Where none may be opened either, it waits for one that may be reused soon, or fails if there is none.
         """
-        connection = self._take_idle(self.loop.time() - REUSE_DELAY_S)
-        if connection is None and (
-            len(self.connections) + len(self.opening) >= MAX_CONNECTIONS_PER_BACKEND
-            or not self._backends.make_room()
-        ):
-            connection = self._take_idle(float("inf"))
-            if connection is None:
-                exchange.end(io.Outcome.CONNECT_FAILED)
-                return
+        if self._waiting:
+            self._send_waiting()
+        if not self._waiting and self._try_to_send(exchange):
+            return
+        if len(self._waiting) < len(self.idle_connections):
+            self._waiting.append(exchange)
+            self._schedule_waiting()
+        else:
+            exchange.end(io.Outcome.CONNECT_FAILED)
+
+    def _try_to_send(self, exchange: Exchange) -> bool:
+        """Sends an exchange, or opens a connection for it; returns whether either was possible."""
+        connection = self._take_idle()
         if connection is not None:
             connection.start(exchange)
-            return
+            return True
+        is_full = len(self.connections) + len(self.opening) >= MAX_CONNECTIONS_PER_BACKEND
+        if is_full or not self._backends.make_room():
+            return False
         self._backends.open_or_opening[exchange] = self
         self.opening[exchange] = self._backends.run_in_background(self._open(exchange))
+        return True
+
+    def _send_waiting(self) -> None:
+        """Sends the exchanges that wait, in order, as far as there are connections for them."""
+        while self._waiting:
+            exchange = self._waiting.popleft()
+            if not exchange.may_start(self.loop.time()) or self._try_to_send(exchange):
+                continue
+            if self.idle_connections:
+                self._waiting.appendleft(exchange)
+                self._schedule_waiting()
+                return
+            exchange.end(io.Outcome.CONNECT_FAILED)
+
+    def _schedule_waiting(self) -> None:
+        """Sets the timer for the time at which the next connection may be reused."""
+        if self._waiting_timer is None:
+            idle_since_s = min(connection.idle_since for connection in self.idle_connections)
+            wait_s = max(MIN_WAIT_S, idle_since_s + REUSE_DELAY_S - self.loop.time())
+            self._waiting_timer = self.loop.call_later(wait_s, self._on_waiting_timer)
 
-    def _take_idle(self, idle_before_s: float) -> Connection | None:
-        """Takes the most recently used connection that has been idle since `idle_before_s` (loop time).
+    def _on_waiting_timer(self) -> None:
+        self._waiting_timer = None
+        self._send_waiting()
+
+    def _take_idle(self) -> Connection | None:
+        """Takes the most recently used idle connection that may be reused.
 
         One that the backend may be about to close is not used, even if the sweep has not closed it yet.
         """
-        idle_limit_s = self.loop.time() - self._backends.max_idle_s
+        now_s = self.loop.time()
+        idle_before_s, idle_limit_s = now_s - REUSE_DELAY_S, now_s - self._backends.max_idle_s
         for connection in [x for x in reversed(self.idle_connections) if x.idle_since <= idle_before_s]:
             self._remove_idle(connection)
             if connection.idle_since > idle_limit_s and connection.is_usable():
@@ -373,22 +421,18 @@
         self._backends.open_or_opening.pop(exchange, None)
 
     def connection_opened(self, connection: Connection, exchange: Exchange) -> None:
-        """Starts the exchange that the connection was opened for, unless it is not needed any more.
-
-        The connection may have come up long after the attempt was decided on: what was checked then is
-        checked again.
-        """
+        """Starts the exchange that the connection was opened for, unless it is not needed any more."""
         self._end_opening(exchange)
         self.connections.add(connection)
         self._backends.open_or_opening[connection] = self
-        exchange.withdraw_if_late(self.loop.time())
+        may_start = exchange.may_start(self.loop.time())
         if self.is_closed:
             connection.abort()
-        elif exchange.is_done or exchange.is_wanted is not None and not exchange.is_wanted():
+        elif may_start:
+            connection.start(exchange)
+        else:
             self.add_idle(connection)
             connection.idle_since -= REUSE_DELAY_S  # usable at once, as no response came over it yet
-        else:
-            connection.start(exchange)
 
     def add_idle(self, connection: Connection) -> None:
         """Keeps a connection for later exchanges, or closes it if the pool is closed."""
@@ -434,9 +478,14 @@
         """Closes the pool: running exchanges finish, and those that wait for a connection fail."""
         self.is_closed = True
         self.retire_all()
-        for exchange in list(self.opening):
+        waiting, self._waiting = self._waiting, deque()
+        for exchange in (*self.opening, *waiting):
             exchange.end(io.Outcome.CONNECT_FAILED)
 
+    def is_unused(self) -> bool:
+        """Whether the pool has no connection and nothing waits for one."""
+        return not self.connections and not self.opening and not self._waiting
+
 
 class Backends:
     """The connection pools to all backends of the list, with a common limit on connections.
@@ -477,9 +526,9 @@
             itertools.takewhile(lambda entry: entry[0].idle_since <= idle_before_s, self.idle_by_age.items())
         ):
             pool.retire(connection)
-        for name in [name for name, pool in self._pools.items() if not pool.connections and not pool.opening]:
+        for name in [name for name, pool in self._pools.items() if pool.is_unused()]:
             del self._pools[name]
-        self._draining_pools = {pool for pool in self._draining_pools if pool.connections or pool.opening}
+        self._draining_pools = {pool for pool in self._draining_pools if not pool.is_unused()}
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def run_in_background(self, work) -> asyncio.Task:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -19,6 +19,7 @@
     reply_until_close,
     request,
     request_id,
+    reset,
     run,
     unreachable_port,
     wait_until,
@@ -48,6 +49,7 @@
 }
 NO_REUSE_DELAY = "backends.REUSE_DELAY_S = 0.0"
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\nbeds"
+SECOND_REPLY_S = 0.005  # well under the delay before a connection is reused
 
 
 def reply_raw(data, suffix=b"", repeat_count=0):
@@ -195,6 +197,97 @@
     run(scene)
 
 
+async def echo_twice(received, writer):
+    """Replies with the body of the request, and again some milliseconds later.
+
+    The request takes longer than that, so that a second reply crosses the next request.
+    """
+    await asyncio.sleep(2.0 * SECOND_REPLY_S)
+    await reply_ok(received.body)(received, writer)
+    asyncio.get_running_loop().call_later(SECOND_REPLY_S, writer.write, LENGTH % b"4")
+
+
+def test_a_late_second_response_is_not_served_where_no_connection_may_be_opened(monkeypatch):
+    # Guards against reuse within the delay at the limit: each later response went to the next request.
+    monkeypatch.setattr(backends, "MAX_CONNECTIONS_PER_BACKEND", 1)
+
+    async def scene():
+        backend = await Backend(echo_twice).start()
+        sender = Sender(backend.port)
+        for body in (b"first", b"second", b"third"):
+            exchange = sender.send(0, body)
+            while not exchange.is_done:  # the next one is sent in the turn of the loop after this
+                await asyncio.sleep(0)
+            assert (exchange.outcome, exchange.response_body) == (io.Outcome.OK, body)
+        assert backend.connections == 3  # each is closed for its second response
+        backend.server.close()
+
+    run(scene)
+
+
+def test_at_the_limit_as_many_exchanges_wait_as_there_are_connections_within_the_delay(monkeypatch):
+    monkeypatch.setattr(backends, "MAX_CONNECTIONS_PER_BACKEND", 2)
+
+    async def scene():
+        backend = await Backend().start()
+        sender = Sender(backend.port)
+        for count in (2, 4):
+            exchanges = [sender.send(0, b"%d" % i) for i in range(3)]
+            assert [exchange.is_done for exchange in exchanges] == [False, False, True]
+            assert exchanges[2].outcome is io.Outcome.CONNECT_FAILED
+            await wait_until(lambda: all(exchange.is_done for exchange in exchanges))  # noqa: B023
+            assert [received.body for received in backend.requests[count - 2 :]] == [b"0", b"1"]
+        assert backend.connections == 2
+        backend.server.close()
+
+    run(scene)
+
+
+@pytest.mark.parametrize("reason", ["withdrawn", "client left", "too late", "backend drains"])
+def test_an_exchange_that_is_not_needed_any_more_is_not_sent_after_its_wait(reason, monkeypatch):
+    monkeypatch.setattr(backends, "MAX_CONNECTIONS_PER_BACKEND", 1)
+
+    async def scene():
+        backend = await Backend().start()
+        sender = Sender(backend.port)
+        first = sender.send(0)
+        await wait_until(lambda: first.is_done)
+        waiting = sender.send(0, send_within_s=0.005 if reason == "too late" else float("inf"))
+        if reason == "withdrawn":
+            waiting.withdraw_if_unsent()
+        elif reason == "client left":
+            waiting.is_wanted = lambda: False
+        elif reason == "backend drains":
+            sender.update_list()
+            assert waiting.outcome is io.Outcome.CONNECT_FAILED
+        await asyncio.sleep(3.0 * backends.REUSE_DELAY_S)
+        assert len(backend.requests) == 1
+        if reason != "backend drains":
+            last = sender.send(0)
+            await wait_until(lambda: last.is_done)
+            assert last.outcome is io.Outcome.OK and backend.connections == 1
+        backend.server.close()
+
+    run(scene)
+
+
+def test_a_connection_that_ends_within_the_delay_makes_room_for_what_waits(monkeypatch):
+    monkeypatch.setattr(backends, "MAX_CONNECTIONS_PER_BACKEND", 1)
+
+    async def scene():
+        backend = await Backend().start()
+        sender = Sender(backend.port)
+        first = sender.send(0)
+        await wait_until(lambda: first.is_done)
+        second = sender.send(0)
+        reset(backend.writers[0])
+        await wait_until(lambda: second.is_done)
+        assert sender.outcomes() == [io.Outcome.OK] * 2 and backend.connections == 2
+        backend.server.close()
+
+    run(scene)
+
+
 def test_malformed_load_reports_are_skipped():
     text = b"%%%,=,a=nan,b=inf,c=-1,d=1_0,e=1e99,f={,qps=3.5 , queue=0"
     assert parse_load_report(text) == {"qps": 3.5, "queue": 0.0}
