Move the messages between gateways into a module of their own

Change: BorrowMessage (cobaltline/borrow_message.py) encodes and decodes a message; on_peer_message passes a request and a grant on to functions of their own. A request for nothing no longer makes a bucket.

--- a/cobaltline/gateway.py
+++ b/cobaltline/gateway.py
@@ -9,12 +9,11 @@
 import heapq
 import math
 import random
-import struct
-import zlib
 from collections import deque
 
 from . import interface as io
 from .backend_pool import BackendPool
+from .borrow_message import BORROW_GRANT, BORROW_REQUEST, MAX_UINT32, BorrowMessage
 from .clock_checkpoint import ClockCheckpoint
 from .fleet_clock import NEEDED_READ_INTERVAL_MS, FleetClock
 from .fleet_time import MAX_COUNTER_TTL_MS, FleetTime
@@ -29,10 +28,6 @@
 DIRECT_SHARE_FAILURE_FACTOR = 0.5  # applied to that share by a failed call; home gateways get the rest
 HOME_RETRY_SHARE = 0.125  # of the bucket's fill time: shortest wait of a home gateway after a short borrow
 PEER_SKIP_MS = 1000.0  # a home gateway that does not answer is skipped this long or until its next message
-# Messages between gateways: version, kind, nonce, amount (milli-tokens), wait (ms), sender's clock (ms), then
-# text, then the CRC-32 of all this
-MESSAGE_HEADER = struct.Struct(">BBIIII")
-MESSAGE_VERSION, BORROW_REQUEST, BORROW_GRANT, MAX_UINT32 = 1, 1, 2, 0xFFFFFFFF
 MIN_CALL_GAP_MS = 8.0  # between counter calls after a first failure; doubles with each further one
 MAX_CALL_GAP_MS = 800.0  # bounds the time until a counter that has recovered is called again
 GAP_DECREASE_FACTOR = 0.93  # applied to the call gap after a success, if the gap is at most `failure_gap_ms`
@@ -536,16 +531,14 @@
     def send_peer_message(
         self, now: float, peer: int, kind: int, nonce: int, amount: int, wait_ms=0.0, text=""
     ) -> None:
-        """Send a borrow request or a grant to another gateway; one of more than 256 bytes is dropped.
+        """Send a borrow request or a grant to another gateway; one that is too long is dropped.
 
         `amount` is in milli-tokens. A grant of 0 is a refusal, and `wait_ms` the time until a retry.
         """
-        payload = MESSAGE_HEADER.pack(
-            MESSAGE_VERSION, kind, nonce, min(amount, MAX_UINT32), int(wait_ms), self.message_clock(now)
-        )
-        payload += text.encode()
-        if len(payload) <= 252:
-            self.actions.append(io.SendPeerMessage(payload + zlib.crc32(payload).to_bytes(4), peer))
+        message = BorrowMessage(kind, nonce, amount, int(wait_ms), self.message_clock(now), text)
+        payload = message.encode()
+        if payload is not None:
+            self.actions.append(io.SendPeerMessage(payload, peer))
 
     def on_peer_message(self, now: float, event: io.PeerMessage) -> None:
         """Handle a borrow request or a grant from another gateway.
@@ -553,31 +546,37 @@
         A message is ignored if it is damaged, of another version or too old. A grant is accepted once, from
         the gateway that was asked, and for no more than was asked for.
         """
-        body = event.payload[:-4]
-        is_valid = len(body) >= MESSAGE_HEADER.size and zlib.crc32(body).to_bytes(4) == event.payload[-4:]
-        if not is_valid or body[0] != MESSAGE_VERSION:
+        message = BorrowMessage.decode(event.payload)
+        if message is None:
             return
-        _, kind, nonce, amount, wait_ms, sent_clock = MESSAGE_HEADER.unpack_from(body)
         self.peer_skipped_until.pop(event.sender, None)
-        if (
-            kind == BORROW_REQUEST
-            and (self.message_clock(now) - sent_clock) & MAX_UINT32 < self.peer_timeout_ms / 2
-        ):
-            parts = body[MESSAGE_HEADER.size :].decode(errors="replace").split(" ", 3)
-            if len(parts) == 4 and parts[2] in self.settings.plans and (parts[0] + parts[1]).isdecimal():
-                bucket = self.find_bucket(
-                    now, self.settings.plans[parts[2]], parts[3], int(parts[0]), int(parts[1])
-                )
-                if bucket.home_rank and amount > 0:
-                    self.admit(now, PeerBorrow(bucket, amount, event.sender, nonce))
-        elif kind == BORROW_GRANT and self.pending_peer_borrows.get(nonce, (None, 0, -1))[2] == event.sender:
-            bucket, window, _ = self.pending_peer_borrows.pop(nonce)
+        if message.kind == BORROW_REQUEST:
+            self.on_borrow_request(now, event.sender, message)
+        elif message.kind == BORROW_GRANT:
+            self.on_borrow_grant(now, event.sender, message)
+
+    def on_borrow_request(self, now: float, sender: int, message: BorrowMessage) -> None:
+        """Admit a borrow that another gateway requests, if this one is a home gateway of the customer."""
+        age_ms = (self.message_clock(now) - message.sent_clock) & MAX_UINT32
+        parts = message.text.split(" ", 3)
+        is_valid = len(parts) == 4 and parts[2] in self.settings.plans and (parts[0] + parts[1]).isdecimal()
+        if age_ms >= self.peer_timeout_ms / 2 or not is_valid or message.amount <= 0:
+            return
+        first, spread, plan, customer = parts
+        bucket = self.find_bucket(now, self.settings.plans[plan], customer, int(first), int(spread))
+        if bucket.home_rank:
+            self.admit(now, PeerBorrow(bucket, message.amount, sender, message.nonce))
+
+    def on_borrow_grant(self, now: float, sender: int, message: BorrowMessage) -> None:
+        """Add a lease that a home gateway grants, or wait as long as it says."""
+        if self.pending_peer_borrows.get(message.nonce, (None, 0, -1))[2] == sender:
+            bucket, window, _ = self.pending_peer_borrows.pop(message.nonce)
             bucket.advance(now)
             bucket.pending = 0
-            if not amount:
-                bucket.retry_at = now + min(wait_ms, bucket.fill_ms)
+            if not message.amount:
+                bucket.retry_at = now + min(message.wait_ms, bucket.fill_ms)
             elif window == bucket.window:
-                bucket.add_lease(now, min(amount, bucket.lease_size(1.0)))
+                bucket.add_lease(now, min(message.amount, bucket.lease_size(1.0)))
             self.retry_waiting(now, bucket, False)
 
     def message_clock(self, now: float) -> int:
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -6,17 +6,9 @@
 from helpers import GatewayHarness, final_answers, of_type, settings
 
 from cobaltline import interface as io
+from cobaltline.borrow_message import BORROW_GRANT, BORROW_REQUEST, MESSAGE_HEADER, MESSAGE_VERSION
 from cobaltline.fleet_time import FleetTime
-from cobaltline.gateway import (
-    BORROW_GRANT,
-    BORROW_REQUEST,
-    MESSAGE_HEADER,
-    MESSAGE_VERSION,
-    SAMPLE_SIZE,
-    Bucket,
-    Gateway,
-    TrackedBackend,
-)
+from cobaltline.gateway import SAMPLE_SIZE, Bucket, Gateway, TrackedBackend
 
 KNOWN_TIME = FleetTime(is_known=True)
 
