Bound the customers that a gateway knows by its limit on memory

Cause: a customer's bucket is kept for 10 or 120 s after its last use, and nothing bounded their number.

Change: CustomerTable holds as many customers as fit into an eighth of the limit on memory. Beyond that, the one used longest ago and not in use is forgotten: what it used is counted, what it borrowed and did not use is returned. A bucket takes half of the memory, as it has slots and no queues while nothing waits.

--- a/cobaltline/gateway.py
+++ b/cobaltline/gateway.py
@@ -15,6 +15,7 @@
 from .backend_pool import BackendPool
 from .borrow_message import BORROW_GRANT, BORROW_REQUEST, MAX_UINT32, BorrowMessage
 from .clock_checkpoint import ClockCheckpoint
+from .customer_table import CustomerTable
 from .fleet_clock import NEEDED_READ_INTERVAL_MS, FleetClock
 from .fleet_time import MAX_COUNTER_TTL_MS, FleetTime
 from .interface import NEVER_RAN, BackendState, Idempotency, Outcome
@@ -68,9 +69,7 @@
 # Timers, random numbers and cleanup
 STALL_MS = 100.0  # a timer that fires later than this indicates that the gateway process stalled
 CLOCK_SEED_MASK = 0x5BD1E995  # gives the fleet clock a random sequence of its own
-CUSTOMER_IDLE_MS = 10000.0  # idle customers are dropped after this time; also the interval between sweeps
-# For customers whose bucket was well filled: a gateway of a large set sees each of them seldom.
-FILLED_CUSTOMER_IDLE_MS = 120000.0
+SWEEP_INTERVAL_MS = 10000.0  # between two searches for idle customers and backends that have left
 MAX_RESUBSCRIBE_DELAY_MS = 2500.0  # after a failed request for the list; changes must be followed within 6 s
 
 
@@ -93,7 +92,8 @@
         self.start_times = StartTimes(settings, self.fleet_time)
         self.cold_pacer = ColdPacer(settings, self.rng)
         self.waiting_for_time: list[Bucket] = []  # their requests wait for the fleet's time
-        self.buckets: dict[tuple[str, str], Bucket] = {}
+        self.customers = CustomerTable(settings.max_customers)
+        self.buckets = self.customers.buckets
         self.requests: dict[str, Request] = {}
         self.in_flight: dict[tuple[str, int], tuple[Attempt, Request]] = {}  # by request and attempt number
         self.pool = BackendPool()
@@ -212,14 +212,20 @@
         self, now: float, plan: io.Plan, customer: str, first_gateway: int, spread: int
     ) -> Bucket:
         """The customer's bucket, created on first use."""
-        bucket = self.buckets.get((plan.name, customer))
+        bucket = self.customers.get(plan.name, customer, now)
         if bucket is None:
-            bucket = self.buckets[plan.name, customer] = Bucket(
-                customer, plan, first_gateway, spread, self.settings, now, self.fleet_time
-            )
-        bucket.last_used_at = now
+            bucket = Bucket(customer, plan, first_gateway, spread, self.settings, now, self.fleet_time)
+            for evicted in self.customers.add(bucket):
+                self.settle_evicted(now, evicted)
         return bucket
 
+    def settle_evicted(self, now: float, bucket: Bucket) -> None:
+        """Count what an evicted bucket admitted and did not count, and return the tokens that it holds."""
+        bucket.advance(now)
+        if not self.call_gap_ms and bucket.knows_window(now):
+            bucket.expired_tokens += max(0, bucket.tokens)
+            self.adjust_count(bucket, bucket.take_unreported())
+
     def admit(self, now: float, request: Request | PeerBorrow) -> None:
         """Charge a request to its bucket, or let it wait for tokens.
 
@@ -704,7 +710,7 @@
         """Admit again all that waits, or decide it locally if no source of tokens answered."""
         waiting, bucket.waiting, bucket.sources_tried, bucket.was_asked_again = (
             bucket.waiting,
-            deque(),
+            [],
             0,
             False,
         )
@@ -729,7 +735,7 @@
             self.first_list_had_backends = bool(event.backends)
             if not self.settings.clocks_in_sync:
                 self.start_times.load_first_list(event.backends)
-            self.schedule(now + CUSTOMER_IDLE_MS, self.sweep, None)
+            self.schedule(now + SWEEP_INTERVAL_MS, self.sweep, None)
             if not self.fleet_time.is_known:
                 self.read_fleet_time(now)
             if self.settings.must_poll:
@@ -1010,7 +1016,7 @@
             if not (may_retry and self.try_again(now, request, is_free=event.outcome in NEVER_RAN)):
                 self.reject_or_fail(now, request)
         if bucket.gated:
-            gated, bucket.gated = bucket.gated, deque()
+            gated, bucket.gated = bucket.gated, []
             for released in (gated_request for gated_request in gated if not gated_request.done):
                 self.on_granted(now, released)
         self.send_queued(now)
@@ -1144,17 +1150,8 @@
 
     def sweep(self, now: float, _argument) -> None:
         """Drop idle customers and backends that have left."""
-        self.schedule(now + CUSTOMER_IDLE_MS, self.sweep, None)
-        self.buckets = {
-            key: bucket
-            for key, bucket in self.buckets.items()
-            if now - bucket.last_used_at
-            <= (FILLED_CUSTOMER_IDLE_MS if bucket.is_filled else max(CUSTOMER_IDLE_MS, 2 * bucket.fill_ms))
-            or bucket.pending
-            or bucket.open_count
-            or bucket.waiting
-            or bucket.gated
-        }
+        self.schedule(now + SWEEP_INTERVAL_MS, self.sweep, None)
+        self.customers.sweep(now)
         self.start_times.forget(self.pool.sweep())
         self.logged_states = {
             key: state for key, state in self.logged_states.items() if not key[1] or key[1] in self.tracked
--- a/cobaltline/interface.py
+++ b/cobaltline/interface.py
@@ -133,6 +133,7 @@
     most_retry_after_ms: float = 0.0
     most_attempts: int = 1  # attempts per request, including the first
     most_out: float = math.inf  # concurrent attempts of this gateway, limited by its connections
+    max_customers: int = 1 << 16  # known at a time; those used longest ago are forgotten beyond that
     connect_timeout_ms: float = 250.0
     answer_slack_ms: float = 0.0  # how long after its deadline a request may still be answered
     drain_grace_ms: float = 0.0  # a backend that is draining may still be sent requests for this long
--- a/cobaltline/quota.py
+++ b/cobaltline/quota.py
@@ -28,7 +28,6 @@
 from __future__ import annotations
 
 import hashlib
-from collections import deque
 
 from . import interface as io
 from .fleet_time import WINDOW_COUNT, WINDOW_MS, FleetTime
@@ -56,6 +55,59 @@
     results.
     """
 
+    __slots__ = (
+        "key",
+        "plan",
+        "first",
+        "fleet_time",
+        "spread",
+        "counter_name",
+        "homes",
+        "home_rank",
+        "rate",
+        "capacity",
+        "fill_ms",
+        "window_shift_ms",
+        "previous_total_tries",
+        "correction",
+        "window",
+        "counted_window",
+        "added",
+        "uncounted_tokens",
+        "expired_tokens",
+        "tokens",
+        "leased_at",
+        "lease",
+        "level",
+        "is_filled",
+        "uncounted_requests",
+        "period_use",
+        "last_period_use",
+        "period_started_at",
+        "last_arrival_at",
+        "quick_streak",
+        "mean_gap_ms",
+        "retry_at",
+        "pending",
+        "short_at",
+        "waiting",
+        "gated",
+        "open_count",
+        "max_open",
+        "sources_tried",
+        "promised_at",
+        "was_asked_again",
+        "share",
+        "local_tokens",
+        "local_refilled_at",
+        "has_thin_share",
+        "spare_rate",
+        "max_spare",
+        "spare",
+        "spare_refilled_at",
+        "last_used_at",
+    )
+
     def __init__(
         self,
         key: str,
@@ -102,7 +154,7 @@
         self.mean_gap_ms = 4.0 * MILLI_PER_UNIT * spread / max(self.rate, 1e-9)
         self.retry_at, self.pending = 0.0, 0  # number of unanswered calls of the borrow
         self.short_at = -1e12  # when the bucket was last found short
-        self.waiting, self.gated = deque(), deque()  # requests waiting for tokens; for an attempt to end
+        self.waiting, self.gated = [], []  # requests waiting for tokens; for an attempt to end
         # This gateway's part of the limit on concurrent attempts; requests above it wait for an attempt to
         # end.
         gets_remainder = rank < plan.max_concurrency % spread
@@ -135,6 +187,10 @@
         )
         self.last_used_at = now
 
+    def is_in_use(self) -> bool:
+        """Whether a request, an attempt or a counter call refers to the bucket."""
+        return bool(self.pending or self.open_count or self.waiting or self.gated)
+
     def clock(self, now: float) -> tuple[int, float]:
         """Returns the number of the customer's current window and the time in ms since it began."""
         return self.fleet_time.window(now, self.window_shift_ms)
--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -17,6 +17,7 @@
 
 from cobaltline import Gateway
 from cobaltline import interface as io
+from cobaltline.customer_table import CUSTOMER_BYTES
 
 from .backends import Backends, Exchange
 from .checks import REQUEST_ID_HEADER, HttpRequest, RequestError
@@ -38,12 +39,18 @@
 # Client and backend connections: as a share of all descriptors, and at most of those not reserved.
 CLIENT_SOCKET_SHARE, CLIENT_UNRESERVED_SHARE = 0.5, 0.6
 BACKEND_SOCKET_SHARE, BACKEND_UNRESERVED_SHARE = 0.3, 0.4
+CUSTOMER_MEMORY_SHARE = 0.125  # of the limit on memory, for what the module knows of customers
 OPEN_REQUEST_COPIES = 2  # of its text: as read or as it is forwarded, and as written until it is sent
 # List entries between two calls of gc.freeze(): what is kept of them is never in a cycle, and a collection
 # that walks a long list stops the loop: 30 ms with 26,000 entries.
 GC_FREEZE_ENTRIES = 512
 
 
+def max_customers(memory_mb: float) -> int:
+    """Returns how many customers a gateway with this limit on memory may know at a time."""
+    return max(1, int(memory_mb * CUSTOMER_MEMORY_SHARE * (1 << 20) / CUSTOMER_BYTES))
+
+
 class Clock:
     """Unix time in ms that never goes backwards: read once at the start and advanced by the monotonic clock.
 
@@ -112,6 +119,7 @@
         settings = dataclasses.replace(
             config.settings,
             most_out=float(backend_connections),
+            max_customers=max_customers(config.memory_mb),
             clocks_in_sync=False,
             clock_origin_ms=self._clock.origin_ms,
         )
--- a/tests/test_backend_list.py
+++ b/tests/test_backend_list.py
@@ -53,7 +53,7 @@
     harness = GatewayHarness(backend_entries(4000))
     harness.update_backends(io.Backend("b7", state=io.BackendState.REMOVED), kind=io.ListKind.DELTA)
     RecordingBackend.accesses.clear()
-    harness.advance(harness.now + 2 * gateway.CUSTOMER_IDLE_MS)
+    harness.advance(harness.now + 2 * gateway.SWEEP_INTERVAL_MS)
     assert (
         "b7" not in harness.gateway.tracked
         and len(harness.gateway.tracked) == 3999
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -184,6 +184,26 @@
     run(scene)
 
 
+def test_requests_of_ever_new_customers_stay_under_the_limit_on_memory():
+    # Guards against customers kept without a bound: one connection took a gateway to 86 MB in 6 s.
+    async def scene():
+        limits = {"cores": 1.0, "memory_mb": 32, "sockets": 256}
+        async with World({"b1": Backend()}, limits=limits) as world:
+            client = await world.connect()
+            for first in range(0, 12_000, 30):
+                client.send(
+                    b"".join(
+                        request(plan="basic", customer=f"{number:016x}", X_Timeout="0.001")
+                        for number in range(first, first + 30)
+                    )
+                )
+                for _ in range(30):
+                    assert (await client.read_response()).status >= 400
+                assert used_memory_mb(world.process.pid) < limits["memory_mb"]
+
+    run(scene)
+
+
 RESPONSES_WITHOUT_END = {
     "head": b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 16_000,
     "body": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 18_000,
