Count a client connection once while it opens

What callers saw: where hundreds of clients connect at once, connections are closed with no answer in the middle of their first request, though there is room for all of them.

Cause: the tasks that open connections end some turns of the loop after the connection is open, and both were counted: 353 and 51 for 380 clients, in a log line of the eviction. Above 409 the ones with no complete request were evicted.

Change: a counter of connections that are accepted and not open yet.

--- a/elderhub/clients.py
+++ b/elderhub/clients.py
@@ -343,6 +343,7 @@
         self._open: dict[Client, None] = {}
         self._listener: socket.socket | None = None
         self._attaching: set[asyncio.Task] = set()
+        self._unopened_count = 0  # connections that are accepted and not open yet
         self.is_draining = self.is_ready = self.is_stopped = False
 
     def listen(self, host: str, port: int) -> None:
@@ -358,7 +359,7 @@
         Where none can be evicted, new connections wait in the queue of the listening socket.
         """
         for _ in range(MAX_ACCEPTS_PER_TURN):
-            excess = len(self._open) + len(self._attaching) + 1 - self._evict_above
+            excess = len(self._open) + self._unopened_count + 1 - self._evict_above
             # Evicts some more at once, as each search goes through all connections.
             evicted = self._evict(excess + MAX_ACCEPTS_PER_TURN) if excess > 0 else 0
             if excess > self._max_connections - self._evict_above and not evicted:
@@ -384,6 +385,7 @@
         except ConnectionError:  # the client has disconnected already
             return True
         sock.setblocking(False)
+        self._unopened_count += 1
         task = self.loop.create_task(self._attach(sock, self.arrivals.backlogged_since_ms()))
         self._attaching.add(task)
         task.add_done_callback(self._attaching.discard)
@@ -399,11 +401,15 @@
             self.loop.add_reader(self._listener, self._accept)
 
     async def _attach(self, sock: socket.socket, backlogged_since_ms: float | None) -> None:
+        client = Client(self, backlogged_since_ms)
         with contextlib.suppress(OSError):  # the client has disconnected already
-            await self.loop.connect_accepted_socket(lambda: Client(self, backlogged_since_ms), sock)
+            await self.loop.connect_accepted_socket(lambda: client, sock)
+        if client.transport is None:
+            self._unopened_count -= 1
 
     def connection_opened(self, client: Client) -> None:
         """Adds a connection that is open."""
+        self._unopened_count -= 1
         self._open[client] = None
         client.state_since_s = self.loop.time()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -420,6 +420,23 @@
     run(scene)
 
 
+def test_connections_within_the_limit_stay_while_many_are_accepted():
+    # Guards against connections counted twice as they open: others were closed in the middle of a request.
+    async def scene():
+        async with World({"b1": Backend()}) as world:  # 512 connections, eviction above 409
+            connecting = [asyncio.create_task(world.connect()) for _ in range(400)]
+            connections = []
+            for task in connecting:
+                connections.append(await task)
+                connections[-1].send(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r")
+            await asyncio.sleep(0.5)
+            for client in connections:
+                client.send(b"\n")
+            assert {(await client.read_response()).status for client in connections} == {200}
+
+    run(scene)
+
+
 def test_with_few_connections_left_a_first_answer_ends_its_connection_and_reused_ones_stay():
     async def scene():
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 128}
