Remember the ids of unsafe requests that may have run

Cause: only the ids of open requests were kept. As its client left, the attempt was cancelled and the id was free, though the backend went on.

Result: one run, then 409. The new tests got 200 before.

--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -27,6 +27,7 @@
 from .discovery import DiscoveryClient, Listing
 from .memory import MemoryBudget
 from .peers import Peers
+from .request_ids import ExecutedIds
 from .system import REAL_SYSTEM, System
 from .wire import Address, parse_load_report
 
@@ -80,6 +81,7 @@
         "message",
         "head",
         "client_deadline_ms",
+        "is_safe",
         "exchanges",
         "attempt_count",
         "may_have_run",
@@ -89,8 +91,9 @@
         "held_bytes",
     )
 
-    def __init__(self, name: str, client: Client, message: HttpRequest, deadline_ms: float):
+    def __init__(self, name: str, client: Client, message: HttpRequest, deadline_ms: float, is_safe: bool):
         self.id, self.client, self.message, self.client_deadline_ms = name, client, message, deadline_ms
+        self.is_safe = is_safe  # to repeat
         self.request_id = message.headers[REQUEST_ID_HEADER]
         self.head = b""  # as forwarded to backends; built with the first attempt
         self.exchanges: dict[int, Exchange] = {}
@@ -126,6 +129,12 @@
         self._module = Gateway(settings, config.seed)
         self._requests: dict[str, OpenRequest] = {}
         self._open_ids: set[bytes] = set()  # the X-Request-ID of each open request
+        self._executed_ids = ExecutedIds(config.memory_mb)
+        self._safe_classes = frozenset(
+            request_class.name
+            for request_class in settings.classes.values()
+            if request_class.idempotency is io.Idempotency.SAFE
+        )
         self._last_request_number = 0
         self._events: deque = deque()
         self._is_dispatching = False
@@ -209,6 +218,8 @@
     def _remove_if_finished(self, request: OpenRequest) -> None:
         if request.is_reported and not request.exchanges and self._requests.pop(request.id, None) is not None:
             self._open_ids.discard(request.request_id)
+            if request.may_have_run and not request.is_safe:
+                self._executed_ids.add(request.request_id)
             self._memory.adjust(-request.held_bytes)
 
     # Requests.
@@ -216,18 +227,22 @@
     def handle_request(self, client: Client, message: HttpRequest, event: io.RequestArrived) -> None:
         """Accepts a parsed request and passes it to the module.
 
-        Raises RequestError if its id is in use, or if all requests together hold too much memory.
+        Raises RequestError if its id is in use, if a request of this id may have run and is not safe to
+        repeat, or if all requests together hold too much memory.
         """
+        request_id = message.headers[REQUEST_ID_HEADER]
         # Backends would take its attempts for duplicates of the open request's.
-        if message.headers[REQUEST_ID_HEADER] in self._open_ids:
+        if request_id in self._open_ids:
             raise RequestError(409, "a request of this id is open")
+        if request_id in self._executed_ids:
+            raise RequestError(409, "a request of this id may have run")
         if not self._memory.has_room():
             raise RequestError(503, "too much memory in use")
-        self._open_ids.add(message.headers[REQUEST_ID_HEADER])
+        self._open_ids.add(request_id)
         self._last_request_number += 1
         event.request = f"{self._last_request_number}"
         request = self._requests[event.request] = OpenRequest(
-            event.request, client, message, event.deadline_ms
+            event.request, client, message, event.deadline_ms, event.kind in self._safe_classes
         )
         client.open_request = request
         self._memory.adjust(request.held_bytes)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,6 +11,7 @@
     Backend,
     HeldReply,
     World,
+    reply_not_processed,
     reply_ok,
     reply_status,
     request,
@@ -20,6 +21,7 @@
 )
 
 from elderhub import clients
+from elderhub.request_ids import ExecutedIds
 
 
 def test_a_request_and_its_answer_are_forwarded_unchanged():
@@ -267,6 +269,52 @@
     run(scene)
 
 
+@pytest.mark.parametrize("kind,is_sent_again", [("pay", False), ("hold", False), ("read", True)])
+def test_an_id_is_not_sent_again_after_its_client_left_unless_that_is_safe(kind, is_sent_again):
+    # Guards against ids forgotten with their clients: an unsafe request ran once more with each repetition.
+    async def scene():
+        held_reply = HeldReply()
+        backend = Backend(held_reply)
+        async with World({"b1": backend}) as world:
+            first = await world.connect()
+            first.send(request(kind, name="r1"))
+            await held_reply.reached.wait()
+            first.writer.close()
+            await wait_until(lambda: backend.readers[0].at_eof())  # the attempt is cancelled
+            held_reply.release.set()
+            for _ in range(2):
+                answer = await world.call(request(kind, name="r1"))
+                assert answer.status == (200 if is_sent_again else 409)
+            assert len(backend.requests) == (3 if is_sent_again else 1)
+            assert (await world.call(request(kind, name="r2"))).status == 200
+
+    run(scene)
+
+
+def test_an_unsafe_id_that_never_ran_may_come_again():
+    async def scene():
+        backend = Backend(reply_not_processed())
+        async with World({"b1": backend}) as world:
+            assert (await world.call(request("pay", name="r1"))).status == 503
+            backend.reply = reply_ok()
+            assert (await world.call(request("pay", name="r1"))).status == 200
+            assert (await world.call(request("pay", name="r1"))).status == 409
+            assert len(backend.requests) == 2
+
+    run(scene)
+
+
+def test_the_ids_that_are_remembered_are_bounded_by_the_limit_on_memory():
+    executed_ids = ExecutedIds(1.0)
+    ids = [b"%016x" % number for number in range(2 * executed_ids.max_count)]
+    for executed_id in ids:
+        executed_ids.add(executed_id)
+        executed_ids.add(executed_id)
+    assert len(executed_ids) == executed_ids.max_count < len(ids)
+    assert ids[-1] in executed_ids and ids[-executed_ids.max_count] in executed_ids
+    assert ids[-executed_ids.max_count - 1] not in executed_ids
+
+
 @pytest.mark.parametrize(
     "version,header,is_kept",
     [(b"1.1", {}, True), (b"1.1", {"Connection": "close"}, False), (b"1.0", {}, False)],
