Take the backend that started last for the one at its address

Cause: two ids with one address were two backends.

Change: AddressOwners (elderhub/address_owners.py) takes the one that started last for the one that is there; the other drains. Equal start times change nothing.

The entries of test_discovery.py had one address in common by default; now each name has a port of its own, as two of its tests list start times. What they check is as it was.

--- a/elderhub/discovery.py
+++ b/elderhub/discovery.py
@@ -19,6 +19,7 @@
 
 from cobaltline import interface as io
 
+from .address_owners import AddressOwners
 from .lists import MAX_ENTRIES, ListPart, ListReader
 from .wire import Address, ThrottledLog, parse_address
 
@@ -241,18 +242,24 @@
         self._newest_version = version  # over all addresses of discovery
         # As last reported, without removed ones.
         self._known: dict[str, tuple[io.Backend, Address]] = {}
+        self._owners = AddressOwners()
         self._leaving: dict[str, float] = {}  # start time of backends that drain or were removed
         self._current_list = PendingList()
         self._task: asyncio.Task | None = None
         self.first_list_received = asyncio.Event()  # set by the first list of a watch, not by the cached one
 
     def set_known_backends(self, listing: Listing) -> None:
-        """Sets the backends that are known before the first watch."""
+        """Sets the backends that are known before the first watch; one that is displaced is set to drain."""
         self._known = {
             backend.id: (backend, listing.addresses[backend.id])
             for backend in listing.event.backends
             if backend.state is not io.BackendState.REMOVED
         }
+        for backend, address in self._known.values():
+            if backend.state is io.BackendState.UP:
+                displaced = self._owners.claim(backend, address)
+                if displaced is not None:
+                    displaced.state = io.BackendState.DRAINING
 
     def start(self) -> None:
         """Starts to watch."""
@@ -408,15 +415,15 @@
         entries = map(_parse_entry, part.entries)
         if pending.undecided and pending.is_stale is not None:
             entries, pending.undecided = [*pending.undecided, *entries], []
-        for entry in entries:
-            if entry is not None and self._apply_entry(*entry):
-                backends.append(entry[0])
-                addresses[entry[0].id] = entry[1]
+        for backend, address in (entry for entry in entries if entry is not None):
+            for changed in self._apply_entry(backend, address):
+                backends.append(changed)
+                addresses[changed.id] = address
         if part.is_last and part.reset:
             pending.unlisted_ids = iter(list(self._known))
 
-    def _apply_entry(self, backend: io.Backend, address: Address | None) -> bool:
-        """Records an entry; returns whether it differs from what is known.
+    def _apply_entry(self, backend: io.Backend, address: Address | None) -> list[io.Backend]:
+        """Records an entry; returns what differs from what is known: it and a backend that it displaces.
 
         In a stale list, as another address of discovery may have, a leaving backend stays draining unless it
         has restarted.
@@ -427,24 +434,45 @@
         if backend.state is io.BackendState.UP and backend.started_ms <= self._leaving.get(name, -1.0):
             if pending.is_stale is None:
                 pending.undecided.append((backend, address))
-                return False
+                return []
             if pending.is_stale:
                 backend.state = io.BackendState.DRAINING
+        changed = self._claim_address(backend, address)
         if backend.state is io.BackendState.UP:
             self._leaving.pop(name, None)
         else:
             self._note_leaving(name, max(backend.started_ms, known[0].started_ms if known else 0.0))
         if backend.state is io.BackendState.REMOVED:
-            return self._known.pop(name, None) is not None
+            return [*changed, backend] if self._known.pop(name, None) is not None else changed
         if known == (backend, address):
-            return False
+            return changed
         if known is None and len(self._known) >= MAX_KNOWN_BACKENDS:
             raise ValueError(f"over {MAX_KNOWN_BACKENDS} backends")
         self._known[name] = backend, address
-        return True
+        return [*changed, backend]
+
+    def _claim_address(self, backend: io.Backend, address: Address | None) -> list[io.Backend]:
+        """Records which backend listens at an address; returns the one that is displaced there, draining.
+
+        `backend` itself is set to drain if a process that started later is listed with its address.
+        """
+        known = self._known.get(backend.id)
+        if known is not None and (backend.state is not io.BackendState.UP or known[1] != address):
+            self._owners.release(backend.id, known[1])
+        if backend.state is not io.BackendState.UP:
+            return []
+        displaced = self._owners.claim(backend, address)
+        if displaced is None:
+            return []
+        throttled_log.warning("%s has taken the address of %s", backend.id, displaced.id)
+        displaced = replace(displaced, state=io.BackendState.DRAINING)
+        self._known[displaced.id] = displaced, address
+        self._note_leaving(displaced.id, displaced.started_ms)
+        return [displaced]
 
     def _remove_unlisted(self, name: str) -> io.Backend:
-        backend, _ = self._known.pop(name)
+        backend, address = self._known.pop(name)
+        self._owners.release(name, address)
         self._note_leaving(name, backend.started_ms)
         return replace(backend, state=io.BackendState.REMOVED)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,7 +15,9 @@
 from emulator import virtual
 
 
-def entry(name, port=1, lifecycle="Ready", **more):
+def entry(name, port=None, lifecycle="Ready", **more):
+    """An entry of a list; by default each name has a port of its own, from 1 for "a" on."""
+    port = port or 1 + sum(name.encode()) - ord("a")
     return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "lifecycle": lifecycle, **more}
 
 
@@ -455,6 +457,58 @@
     assert states(first, shorter)[1] == {"a": "removed", "b": "up", "c": "removed", "d": "removed"}
 
 
+OLD = entry("old", port=7, startedAtMs=5)
+NEW = entry("new", port=7, startedAtMs=9)
+
+
+@pytest.mark.parametrize(
+    "lists,expected",
+    [
+        ([(7, True, OLD), (8, False, NEW)], {"old": "draining", "new": "up"}),
+        ([(7, True, OLD), (8, False, NEW), (9, False, OLD)], {"old": "draining", "new": "up"}),
+        ([(7, True, OLD, NEW)], {"old": "draining", "new": "up"}),
+        ([(7, True, NEW, OLD)], {"old": "draining", "new": "up"}),
+        ([(7, True, NEW), (8, False, OLD)], {"old": "draining", "new": "up"}),
+        ([(7, True, OLD), (8, False, NEW), (9, True, NEW)], {"old": "removed", "new": "up"}),
+        # The former process comes back at another address, or there once the latter has gone or moved.
+        (
+            [(7, True, OLD), (8, False, NEW), (9, False, {**OLD, "hostPort": "h:8"})],
+            {"old": "up", "new": "up"},
+        ),
+        (
+            [(7, True, OLD), (8, False, NEW), (9, False, {**NEW, "lifecycle": "Gone"}, OLD)],
+            {"old": "up", "new": "removed"},
+        ),
+        (
+            [(7, True, OLD), (8, False, NEW), (9, False, {**NEW, "hostPort": "h:8"}, OLD)],
+            {"old": "up", "new": "up"},
+        ),
+        ([(7, True, OLD), (8, True, NEW), (9, False, OLD)], {"old": "draining", "new": "up"}),
+        # Equal start times don't tell which one is there.
+        ([(7, True, OLD), (8, False, {**NEW, "startedAtMs": 5})], {"old": "up", "new": "up"}),
+    ],
+)
+def test_of_two_backends_at_one_address_the_one_that_started_last_is_there(lists, expected):
+    # Guards against a new process taken for the old one at its address, whose requests and repeats it got.
+    assert states(*lists)[-1] == expected
+
+
+def test_a_cached_list_with_two_backends_at_one_address_uses_the_one_that_started_last():
+    async def scene():
+        known = discovery_module.parse_listing({"generation": 1, "instances": [OLD, NEW]})
+        received = []
+        discovery = discovery_module.DiscoveryClient(("127.0.0.1", 1), 1, received.append)
+        discovery.set_known_backends(known)
+        assert [backend.state for backend in known.event.backends] == [
+            io.BackendState.DRAINING,
+            io.BackendState.UP,
+        ]
+        consume(discovery, {"generation": 2, "instances": [OLD]})
+        assert not [backend for listing in received for backend in listing.event.backends]
+
+    run(scene)
+
+
 def test_a_newer_list_or_a_restart_brings_a_backend_back():
     first, leaving = (7, True, entry("a")), (8, False, entry("a", lifecycle="Terminating"))
     assert states(first, leaving, (9, False, entry("a")))[2] == {"a": "up"}
