Start the nonces of borrows at random

A restarted gateway takes a grant of tokens that its former process had asked for, perhaps for another customer.

Cause: each process counted its nonces from 1.

Change: the first nonce follows from the seed of the process, which is new with each start.

--- a/cobaltline/gateway.py
+++ b/cobaltline/gateway.py
@@ -69,6 +69,7 @@
 # Timers, random numbers and cleanup
 STALL_MS = 100.0  # a timer that fires later than this indicates that the gateway process stalled
 CLOCK_SEED_MASK = 0x5BD1E995  # gives the fleet clock a random sequence of its own
+NONCE_SEED_MASK = 0x27D4EB2F  # the same for the first nonce
 SWEEP_INTERVAL_MS = 10000.0  # between two searches for idle customers and backends that have left
 MAX_RESUBSCRIBE_DELAY_MS = 2500.0  # after a failed request for the list; changes must be followed within 6 s
 
@@ -136,6 +137,8 @@
         self.counter_rtt_ms = settings.counter_timeout_ms
         # share of counts that found the bucket overdrawn although it was thought well filled
         self.overrun_share = INITIAL_OVERRUN_SHARE
+        # Random, so that a grant meant for an earlier process of this gateway matches no borrow of this one.
+        self.last_nonce = random.Random(seed ^ NONCE_SEED_MASK).getrandbits(32)
         # by nonce: bucket, window, home gateway
         self.pending_peer_borrows: dict[int, tuple[Bucket, int, int]] = {}
         # by gateway, after a missing answer
@@ -373,12 +376,12 @@
             and home != self.settings.node_id
             and (not may_call_counter or self.rng.random() >= self.direct_share)
         ):
-            self.seq += 1
+            nonce = self.last_nonce = (self.last_nonce + 1) & MAX_UINT32
             bucket.pending, bucket.sources_tried = 1, bucket.sources_tried + 2
-            self.pending_peer_borrows[self.seq] = (bucket, bucket.window, home)
+            self.pending_peer_borrows[nonce] = (bucket, bucket.window, home)
             text = f"{bucket.first} {bucket.spread} {bucket.plan.name} {bucket.key}"
-            self.send_peer_message(now, home, BORROW_REQUEST, self.seq, bucket.lease_size(1.0), text=text)
-            self.schedule(now + self.peer_timeout_ms, self.on_peer_timeout, self.seq)
+            self.send_peer_message(now, home, BORROW_REQUEST, nonce, bucket.lease_size(1.0), text=text)
+            self.schedule(now + self.peer_timeout_ms, self.on_peer_timeout, nonce)
         elif may_call_counter:
             bucket.sources_tried |= 1
             self.borrow_from_counter(now, bucket)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,11 +41,11 @@
 class GatewayHarness:
     """One gateway with a clock, in ms, that the test moves; `actions` holds all actions so far."""
 
-    def __init__(self, backends=("b1", "b2", "b3"), at=100000.0, **changes):
+    def __init__(self, backends=("b1", "b2", "b3"), at=100000.0, seed=7, **changes):
         self.now = at
         self.actions = []
         self.timers = []
-        self.gateway = Gateway(settings(**changes), 7)
+        self.gateway = Gateway(settings(**changes), seed)
         self.request_count = 0
         self.update_backends(*backends, kind=io.ListKind.CACHED)
 
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -116,7 +116,7 @@
     return Bucket("c", gateway_settings.plans[plan], 0, 40, gateway_settings, 0.0, KNOWN_TIME).homes[0]
 
 
-def _harness_with_pending_borrow():
+def _harness_with_pending_borrow(seed=7):
     """A gateway that borrows from a home gateway of customer c: the harness, the request and the message."""
     gateway_settings = settings(gateways=40)
     homes = Bucket(
@@ -129,7 +129,7 @@
         KNOWN_TIME,
     ).homes
     node_id = next(i for i in range(40) if i not in homes)
-    harness = GatewayHarness(node_id=node_id, gateways=40, may_message_peers=True)
+    harness = GatewayHarness(seed=seed, node_id=node_id, gateways=40, may_message_peers=True)
     harness.gateway.direct_share = 0.0
     name, actions = harness.request(plan="basic", spread=40)
     return harness, name, of_type(actions, io.SendPeerMessage)[0]
@@ -150,6 +150,17 @@
     assert not harness.feed(io.PeerMessage(request.to, grant)) and bucket.tokens == 0
 
 
+def test_a_grant_for_an_earlier_process_of_the_gateway_is_ignored():
+    # Guards against nonces that each process counts from 1: it took grants for which another had asked.
+    _, _, earlier_request = _harness_with_pending_borrow(seed=1)
+    harness, _, request = _harness_with_pending_borrow(seed=2)
+    grant = _message(BORROW_GRANT, MESSAGE_HEADER.unpack_from(earlier_request.payload)[2], 1000)
+    assert request.to == earlier_request.to
+    assert not harness.feed(io.PeerMessage(request.to, grant))
+    nonce = MESSAGE_HEADER.unpack_from(request.payload)[2]
+    assert of_type(harness.feed(io.PeerMessage(request.to, _message(BORROW_GRANT, nonce, 1000))), io.Send)
+
+
 def test_a_grant_from_another_gateway_or_after_the_timeout_is_ignored():
     harness, name, request = _harness_with_pending_borrow()
     nonce = MESSAGE_HEADER.unpack_from(request.payload)[2]
