Never postpone input that costs no more than its postponement

Cause: where a turn had no time left, each piece of some bytes had its connection paused, queued and resumed, which costs more than to parse it.

Change: input that is expected to take under 50 us is processed at once.

--- a/elderhub/input_scheduler.py
+++ b/elderhub/input_scheduler.py
@@ -11,6 +11,7 @@
 READ_BYTES = 8192  # of one connection, read and processed at a time
 TURN_BUDGET_S = 0.001  # processor time for input in one turn of the loop
 COST_WEIGHT = 0.5  # of the latest input in the mean cost of a connection's input
+CHEAP_INPUT_S = 5e-5  # expected cost below which input is never postponed, as that costs about as much
 FIRST_COST_S_PER_BYTE = 2e-7  # assumed of the first input of a connection: that of many short header lines
 
 
@@ -45,8 +46,8 @@
         self._postponed: list[tuple[float, int, InputSource]] = []  # heap, by mean cost
 
     def receive(self, source: InputSource, data: memoryview | bytes) -> None:
-        """Processes input, or postpones it if this turn has no time left."""
-        if self.has_time():
+        """Processes input, or postpones it if this turn has no time left and it is not cheap."""
+        if self.has_time() or _expected_cost_s(source, data) < CHEAP_INPUT_S:
             self.process(source, data)
         else:
             self.postpone(source, bytes(data))
@@ -67,7 +68,7 @@
     def postpone(self, source: InputSource, data: bytes = b"") -> None:
         """Postpones input, or what earlier input has left to do, to a later turn."""
         source.postpone_input(data)
-        cost_s = source.input_cost_s or len(data) * FIRST_COST_S_PER_BYTE
+        cost_s = _expected_cost_s(source, data)
         heapq.heappush(self._postponed, (cost_s, next(self._numbers), source))
         self._schedule_turn()
 
@@ -89,3 +90,8 @@
             source.resume_input()
         if self._postponed:
             self._schedule_turn()
+
+
+def _expected_cost_s(source: InputSource, data: memoryview | bytes) -> float:
+    """Returns the processor time that input of a connection will probably take, in seconds."""
+    return source.input_cost_s or len(data) * FIRST_COST_S_PER_BYTE
