Throttle the log line for requests that the module did not answer in time

What callers saw: nothing. Requests with 1 ms left, sent at full speed on one connection, wrote 1,764 lines to the log in 4 s.

Cause: the line is written for each such request, and a client sets the time.

Change: at most one line a second, with the number of those left out, as for other lines that remote parties cause.

--- a/elderhub/host.py
+++ b/elderhub/host.py
@@ -29,9 +29,10 @@
 from .peers import Peers
 from .request_ids import ExecutedIds
 from .system import REAL_SYSTEM, System
-from .wire import Address, parse_load_report
+from .wire import Address, ThrottledLog, parse_load_report
 
 log = logging.getLogger(__name__)
+throttled_log = ThrottledLog(log)
 
 # Descriptors that are kept from clients and backends: 24 are open at rest (loop, logs, listening socket, peer
 # messages, counter, discovery), a reload to new addresses doubles those of the last two, and a closing
@@ -284,7 +285,7 @@
     def _on_deadline(self, request: OpenRequest) -> None:
         """Guards against an error in the module, which answers every request before its deadline."""
         if not request.is_closed:
-            log.error("request %s was not answered in time; answering 500", request.id)
+            throttled_log.warning("request %s was not answered in time; answering 500", request.id)
             self._abort_request(request.id)
 
     def _abort_request(self, name: str) -> None:
