Count a connection's input as no costlier than a hold-up can make it

Cause: a process that is stopped while it handles a request counts the whole stop as the cost of that connection's input, which then comes after all others for many inputs.

Change: at most 20 ms are counted for one input.

Result: the new test, with an input that takes 0.15 s, fails without the cap; with it the connection is taken for cheap again after six usual inputs.

--- a/elderhub/input_scheduler.py
+++ b/elderhub/input_scheduler.py
@@ -10,6 +10,7 @@
 
 READ_BYTES = 8192  # of one connection, read and processed at a time
 TURN_BUDGET_S = 0.001  # processor time for input in one turn of the loop
+MAX_COST_S = 0.02  # counted for one input: a longer time shows that the process was held up
 COST_WEIGHT = 0.5  # of the latest input in the mean cost of a connection's input
 CHEAP_INPUT_S = 5e-5  # expected cost below which input is never postponed, as that costs about as much
 FIRST_COST_S_PER_BYTE = 2e-7  # assumed of the first input of a connection: that of many short header lines
@@ -62,8 +63,9 @@
             ended_s = self._monotonic()
             self._processing_since_s = None
             self._spent_s += ended_s - started_s
+            cost_s = min(ended_s - started_s, MAX_COST_S)
             weight = COST_WEIGHT if source.input_cost_s else 1.0
-            source.input_cost_s += weight * (ended_s - started_s - source.input_cost_s)
+            source.input_cost_s += weight * (cost_s - source.input_cost_s)
 
     def postpone(self, source: InputSource, data: bytes = b"") -> None:
         """Postpones input, or what earlier input has left to do, to a later turn."""
--- a/tests/test_fair_input.py
+++ b/tests/test_fair_input.py
@@ -90,6 +90,20 @@
     assert processed == [b"a", b"b", b"d"]
 
 
+def test_a_connection_whose_input_was_held_up_once_is_soon_taken_for_cheap_again():
+    loop, scheduler, processed, (costly, usual) = new_sources(TURN_BUDGET_S, 2 * CHEAP_INPUT_S)
+    scheduler.receive(usual, b"x" * 1500)  # 0.15 s
+    for source, data in ((costly, b"x"), *((usual, b"x") for _ in range(6))):
+        loop.run_turn()
+        scheduler.receive(source, data)
+    loop.run_turn()
+    processed.clear()
+    for source, data in ((costly, b"a"), (costly, b"b"), (usual, b"c")):
+        scheduler.receive(source, data)
+    loop.run_turn()
+    assert processed == [b"a", b"c", b"b"]
+
+
 def test_input_of_unknown_cost_is_taken_for_costly_if_it_is_long():
     loop, scheduler, processed, (costly, long, short) = new_sources(TURN_BUDGET_S, 0.0, 0.0)
     scheduler.receive(costly, b"a")
